Decide by predicted time, and give the decision packages their interfaces

Cause: the picker scored by own calls in flight alone; there was no queue, budget, ceiling, ejection or view of caches, and callers could not tell a full role from a missing one.

Change: board keeps results, load reports, cache hints and leaving endpoints; picker chooses by one of five rules with a typed reason; new packages prefix, rule, outlier, ceiling, queue, retry and schedule. No sockets, goroutines or timers in any of them.

--- /dev/null
+++ b/internal/admission/schedule/schedule.go
@@ -0,0 +1,130 @@
+// Package schedule divides a request's deadline between its stages, from the
+// times that stages were measured to take, and says early which requests can't
+// be finished.
+package schedule
+
+// This file defines Schedule and Verdict.
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+)
+
+const (
+	shards      = 8
+	gain        = 1.0 / 16 // weight of a new measurement in the moving mean
+	reserve     = 2.0      // deviations kept for each later stage
+	leastReturn = 250 * time.Millisecond
+	mostReturn  = 30 * time.Second
+)
+
+// Verdict says whether a request can be finished in the time it has left.
+type Verdict struct {
+	Fits  bool
+	Need  time.Duration // predicted time until the answer is whole, waits included
+	After time.Duration // when Fits is false: when it is worth to ask again
+}
+
+// Schedule keeps the measured times of stages. It is safe for concurrent use.
+type Schedule struct {
+	shards [shards]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	times map[key]*measured
+}
+
+type key struct{ pipeline, stage string }
+
+type measured struct{ mean, deviation float64 } // nanoseconds
+
+// New returns a schedule without measurements.
+func New() *Schedule {
+	s := new(Schedule)
+	for i := range s.shards {
+		s.shards[i].times = make(map[key]*measured)
+	}
+	return s
+}
+
+func (s *Schedule) shard(k key) *shard {
+	return &s.shards[(xxhash.Sum64String(k.pipeline)+xxhash.Sum64String(k.stage))%shards]
+}
+
+// Observe records the service time of a stage that succeeded, without its wait in a queue.
+func (s *Schedule) Observe(pipeline, stage string, took time.Duration) {
+	k := key{pipeline, stage}
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	m := sh.times[k]
+	if m == nil {
+		sh.times[k] = &measured{mean: float64(took), deviation: float64(took) / 2}
+		return
+	}
+	diff := float64(took) - m.mean
+	m.mean += gain * diff
+	m.deviation += gain * (max(diff, -diff) - m.deviation)
+}
+
+// Time returns the mean and mean deviation of a stage, or what the table
+// expects of it as long as nothing was measured.
+func (s *Schedule) Time(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
+	k := key{p.Name, p.Stages[i].Name}
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if m := sh.times[k]; m != nil {
+		return time.Duration(m.mean), time.Duration(m.deviation)
+	}
+	expected := p.Stages[i].Time.Duration()
+	return expected, expected / 2
+}
+
+// Budget returns the part of the time left that stage i may use: what the
+// later stages are not expected to need. Where that is less than the stage's
+// own mean, the time left is divided in proportion to the means.
+func (s *Schedule) Budget(p *pipeline.Pipeline, i int, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	own, _ := s.Time(p, i)
+	var means, reserved time.Duration
+	for j := i + 1; j < len(p.Stages); j++ {
+		mean, deviation := s.Time(p, j)
+		means += mean
+		reserved += mean + time.Duration(reserve*float64(deviation))
+	}
+	if budget := left - reserved; budget >= own {
+		return budget
+	}
+	if own+means == 0 {
+		return left
+	}
+	return time.Duration(float64(left) * float64(own) / float64(own+means))
+}
+
+// Need returns the mean time of stage i and all later ones, without waits.
+func (s *Schedule) Need(p *pipeline.Pipeline, i int) time.Duration {
+	var need time.Duration
+	for j := i; j < len(p.Stages); j++ {
+		mean, _ := s.Time(p, j)
+		need += mean
+	}
+	return need
+}
+
+// Fits predicts whether stage i and all later ones can be finished in the time
+// left, when the queues on the way are expected to hold the request for wait in all.
+func (s *Schedule) Fits(p *pipeline.Pipeline, i int, left, wait time.Duration) Verdict {
+	need := s.Need(p, i) + wait
+	if need <= left {
+		return Verdict{Fits: true, Need: need}
+	}
+	return Verdict{Need: need, After: min(mostReturn, max(leastReturn, need-left))}
+}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
 	"github.com/jacinthstile/jacinthstile/internal/table/feed"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
@@ -70,7 +71,7 @@
 	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
 
 	stats := board.New()
-	pick := picker.New(c.Centre, stats)
+	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	d.callers = &http.Server{
 		Handler: d.counted(caller.New(
 			d.tables,
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -57,12 +57,12 @@
 		choice := r.picker.Pick(table, picker.Query{Role: o.Service, Tried: tried, Now: time.Now()})
 		if choice.Endpoint == nil {
 			if last == nil {
-				last = failure.New(failure.Unsent, nil, "%s", choice.Reason)
+				last = failure.New(failure.Unsent, nil, "%s", choice.Reason.String())
 			}
 			break
 		}
 		r.log.Info("routing", "request", o.Call.Request, "account", o.Account, "stage", o.Service,
-			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason,
+			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
 			"epoch", table.Epoch, "version", table.Version)
 		reply, err := r.attempt(ctx, choice.Endpoint, o)
 		if err == nil {
@@ -85,10 +85,10 @@
 		call.Key = ""
 	}
 	start := time.Now()
-	r.board.Start(e.Name)
+	r.board.Start(e.Name, start)
 	reply, err := r.client.Plain(ctx, e.Address, call)
 	now := time.Now()
-	r.board.Done(e.Name, now.Sub(start), err == nil, now)
+	r.board.Done(e.Name, board.Result{Took: now.Sub(start), Kind: kindOf(err)}, now)
 	if err != nil {
 		r.log.Info("attempt failed", "request", call.Request, "stage", o.Service,
 			"endpoint", e.Name, "kind", failure.KindOf(err).String(), "error", err.Error())
@@ -96,6 +96,14 @@
 	return reply, err
 }
 
+// kindOf returns zero for success.
+func kindOf(err error) failure.Kind {
+	if err == nil {
+		return 0
+	}
+	return failure.KindOf(err)
+}
+
 // isSafe reports whether a failed attempt is known not to have run.
 func isSafe(e *endpoint.Endpoint, err error) bool {
 	switch failure.KindOf(err) {
--- a/internal/flow/runner/runner.go
+++ b/internal/flow/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
@@ -104,16 +105,16 @@
 	for attempt := 1; attempt <= mostAttempts; attempt++ {
 		table := s.tables.Current()
 		choice := s.picker.Pick(table, picker.Query{
-			Role: s.stage.Role, Model: s.model(), Prompt: s.prompt, Tried: s.tried, Now: time.Now(),
+			Role: s.stage.Role, Model: s.model(), Blocks: prefix.Blocks(nil, s.prompt), Tried: s.tried, Now: time.Now(),
 		})
 		if choice.Endpoint == nil {
 			if last == nil {
-				last = failure.New(failure.Unsent, nil, "%s", choice.Reason)
+				last = failure.New(failure.Unsent, nil, "%s", choice.Reason.String())
 			}
 			break
 		}
 		s.log.Info("routing", "request", s.job.ID, "account", s.job.Account, "stage", s.stage.Name,
-			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason,
+			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
 			"epoch", table.Epoch, "version", table.Version)
 		s.record.Attempts = attempt
 		answer, err := s.attempt(ctx, choice.Endpoint, attempt)
@@ -148,7 +149,7 @@
 
 func (s *run) attempt(ctx context.Context, e *endpoint.Endpoint, attempt int) (call.Answer, error) {
 	start := time.Now()
-	s.board.Start(e.Name)
+	s.board.Start(e.Name, start)
 	answer, err := s.client.Do(ctx, e.Address, call.Call{
 		Request:  s.job.ID,
 		Stage:    s.stage.Name,
@@ -160,7 +161,7 @@
 		Tokens:   s.tokens(),
 	}, s.token)
 	now := time.Now()
-	s.board.Done(e.Name, now.Sub(start), err == nil, now)
+	s.board.Done(e.Name, board.Result{Took: now.Sub(start), Kind: kindOf(err), Tokens: answer.Tokens}, now)
 	if err != nil {
 		k := failure.KindOf(err)
 		s.ran = s.ran || k != failure.Unsent && (k != failure.Refused || !e.Trusted)
@@ -175,6 +176,14 @@
 	return answer, nil
 }
 
+// kindOf returns zero for success.
+func kindOf(err error) failure.Kind {
+	if err == nil {
+		return 0
+	}
+	return failure.KindOf(err)
+}
+
 // token keeps what a stream has given, so that a later attempt resumes after it.
 func (s *run) token(t call.Token) error {
 	s.next = t.Index + 1
--- a/internal/routing/board/board.go
+++ b/internal/routing/board/board.go
@@ -1,41 +1,40 @@
 // Package board keeps what this instance knows of each endpoint: its own calls
-// in flight, and how recent calls went. It has no goroutines and no clock.
+// in flight, how recent calls went, the load that the endpoint reported, and
+// the prompt prefixes that it is believed to hold. It has no goroutines and no
+// clock.
 package board
 
-// This file defines Board and Stat.
+// This file defines Board.
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 )
 
 const shards = 32
 
-// Stat is what is known of one endpoint.
-type Stat struct {
-	InFlight int
-	Latency  time.Duration // moving average of successful calls; zero until one is done
-	Failures int           // failures since the last success
-	Last     time.Time     // when the last call ended
-}
-
 // Board holds a Stat for each endpoint, in shards with a lock each.
 type Board struct {
-	shards [shards]shard
+	shards  [shards]shard
+	index   *prefix.Index
+	leaving atomic.Pointer[map[string]bool]
 }
 
 type shard struct {
-	mu    sync.Mutex
-	stats map[string]*Stat
+	mu   sync.Mutex
+	rows map[string]*row
 }
 
 // New returns an empty board.
 func New() *Board {
-	b := new(Board)
+	b := &Board{index: prefix.NewIndex()}
 	for i := range b.shards {
-		b.shards[i].stats = make(map[string]*Stat)
+		b.shards[i].rows = make(map[string]*row)
 	}
 	return b
 }
@@ -44,13 +43,13 @@
 	return &b.shards[xxhash.Sum64String(name)%shards]
 }
 
-func (s *shard) stat(name string) *Stat {
-	st := s.stats[name]
-	if st == nil {
-		st = new(Stat)
-		s.stats[name] = st
+func (s *shard) row(name string) *row {
+	r := s.rows[name]
+	if r == nil {
+		r = new(row)
+		s.rows[name] = r
 	}
-	return st
+	return r
 }
 
 // Get returns what is known of an endpoint.
@@ -58,36 +57,64 @@
 	s := b.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st := s.stats[name]; st != nil {
-		return *st
+	if r := s.rows[name]; r != nil {
+		st := r.Stat
+		st.Limit = r.ceiling.Limit()
+		return st
 	}
-	return Stat{}
+	var unknown row
+	return Stat{Limit: unknown.ceiling.Limit()}
 }
 
-// Start counts a call to an endpoint as in flight.
-func (b *Board) Start(name string) {
+// Start counts a call to an endpoint as in flight from now on.
+func (b *Board) Start(name string, now time.Time) {
 	s := b.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stat(name).InFlight++
+	s.row(name).start(now)
 }
 
 // Done ends a call that Start counted.
-func (b *Board) Done(name string, took time.Duration, ok bool, now time.Time) {
+func (b *Board) Done(name string, r Result, now time.Time) {
 	s := b.shard(name)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	st := s.stat(name)
-	st.InFlight--
-	st.Last = now
-	if !ok {
-		st.Failures++
-		return
+	s.row(name).done(r, now)
+	s.mu.Unlock()
+	if r.Kind == 0 && len(r.Blocks) > 0 {
+		b.index.Add(name, r.Blocks)
 	}
-	st.Failures = 0
-	if st.Latency == 0 {
-		st.Latency = took
+}
+
+// Report records the load that an endpoint reported. Reports older than the
+// last one are ignored.
+func (b *Board) Report(name string, l Load, now time.Time) {
+	s := b.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.row(name).report(l, now)
+}
+
+// Cached records a cache event: the endpoint holds the blocks, or has dropped them.
+func (b *Board) Cached(name string, blocks []uint64, drop bool) {
+	if drop {
+		b.index.Drop(name, blocks)
 		return
 	}
-	st.Latency += (took - st.Latency) / 8
+	b.index.Add(name, blocks)
+}
+
+// Holders fills held with the endpoints that are believed to hold the longest
+// prefix of a prompt, and returns their number.
+func (b *Board) Holders(blocks []uint64, held *[prefix.MostHeld]prefix.Held) int {
+	return b.index.Find(blocks, held)
+}
+
+// SetLeaving replaces the set of endpoints that are leaving. The caller must
+// not change the map afterwards.
+func (b *Board) SetLeaving(names map[string]bool) { b.leaving.Store(&names) }
+
+// Leaving reports whether an endpoint is leaving.
+func (b *Board) Leaving(name string) bool {
+	names := b.leaving.Load()
+	return names != nil && (*names)[name]
 }
--- /dev/null
+++ b/internal/routing/board/stat.go
@@ -0,0 +1,128 @@
+package board
+
+// This file defines Stat, Result and Load, and how results change a Stat.
+
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/ceiling"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+)
+
+// Result is how one call to an endpoint ended.
+type Result struct {
+	Took   time.Duration
+	First  time.Duration // until the first token; zero where nothing streamed
+	Kind   failure.Kind  // zero for success
+	Tokens int           // tokens generated
+	Blocks []uint64      // blocks of the prompt, which the endpoint now holds; see prefix.Blocks
+}
+
+// Load is what an endpoint reports of itself.
+type Load struct {
+	Queue   int           // calls that wait
+	Running int           // calls that run
+	Slots   int           // calls that can run at once
+	Age     time.Duration // age of the figures when they were received
+}
+
+// Stat is what is known of one endpoint.
+type Stat struct {
+	InFlight int           // own calls
+	Latency  time.Duration // moving mean of whole calls; zero until one is done
+	First    time.Duration // moving mean of the time to the first token; zero until known
+	Failures int           // failures since the last success
+	Errors   float64       // moving share of failed calls
+	Calls    uint64        // calls that ended
+	Last     time.Time     // when the last call ended
+	Limit    int           // most own calls in flight, from latency and failures
+
+	Slots    int       // calls that the endpoint can run at once; zero until reported
+	Load     int       // calls of all instances, waiting and running, at Reported
+	Own      int       // own calls in flight at Reported
+	Reported time.Time // the moment that the last load report describes
+
+	starts int64 // sum of the start times of own calls in flight, nanoseconds
+}
+
+const (
+	latencyGain = 1.0 / 8
+	errorGain   = 1.0 / 8
+)
+
+// Age returns the mean time since own calls in flight were started.
+func (s *Stat) Age(now time.Time) time.Duration {
+	if s.InFlight <= 0 {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - s.starts/int64(s.InFlight))
+}
+
+type row struct {
+	Stat
+	ceiling ceiling.Ceiling
+	history history
+}
+
+func (r *row) start(now time.Time) {
+	r.InFlight++
+	r.starts += now.UnixNano()
+	r.history.add(now, r.InFlight)
+}
+
+func (r *row) done(res Result, now time.Time) {
+	latency := res.First
+	if latency == 0 {
+		latency = res.Took
+	}
+	if res.Kind == 0 {
+		r.ceiling.Good(latency, r.InFlight, now)
+	} else {
+		r.ceiling.Bad(now)
+	}
+	r.InFlight--
+	r.starts -= now.Add(-res.Took).UnixNano()
+	r.history.add(now, r.InFlight)
+	r.Last = now
+	r.Calls++
+	r.learn(res)
+}
+
+func (r *row) learn(res Result) {
+	switch res.Kind {
+	case 0:
+		r.Failures = 0
+		r.Errors -= errorGain * r.Errors
+		smooth(&r.Latency, res.Took)
+		if res.First > 0 {
+			smooth(&r.First, res.First)
+		}
+	case failure.Late:
+		// The call was ended from here. It says only that it would have taken longer.
+		if res.Took > r.Latency {
+			smooth(&r.Latency, res.Took)
+		}
+	default:
+		r.Failures++
+		r.Errors += errorGain * (1 - r.Errors)
+	}
+}
+
+func smooth(mean *time.Duration, value time.Duration) {
+	if *mean == 0 {
+		*mean = value
+		return
+	}
+	*mean += time.Duration(latencyGain * float64(value-*mean))
+}
+
+func (r *row) report(l Load, now time.Time) {
+	at := now.Add(-l.Age)
+	if at.Before(r.Reported) {
+		return
+	}
+	r.Reported = at
+	r.Slots = l.Slots
+	r.Load = l.Queue + l.Running
+	r.Own = r.history.at(at)
+}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -1,15 +1,22 @@
-// Package picker chooses the endpoint of a stage. A decision is a function of
-// the table, the board and the query; it does no input or output.
+// Package picker chooses the endpoint of a call. A decision is a function of
+// the table, the board and the query; it does no input or output and, on the
+// usual path, allocates nothing.
 package picker
 
 // This file defines Picker, Query and Choice.
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/ceiling"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/outlier"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
 	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
@@ -17,59 +24,139 @@
 // Query describes the call that needs an endpoint.
 type Query struct {
 	Role   string
-	Model  string // empty where any endpoint of the role will do
-	Prompt string
-	Tried  []string // endpoints that failed this call already
+	Model  string        // empty where any endpoint of the role will do
+	Blocks []uint64      // blocks of the prompt, see prefix.Blocks
+	Expect time.Duration // service time to assume where none was measured
+	Tried  []string      // endpoints that failed this call already
 	Now    time.Time
 }
 
 // Choice is a decision and its reason.
 type Choice struct {
-	Endpoint *endpoint.Endpoint // nil where none may take the call
-	Reason   string
+	Endpoint *endpoint.Endpoint // nil where none may take the call now
+	Full     bool               // all usable endpoints are at their concurrency limit: the call may wait
+	Load     float64            // mean load of the candidates seen, in calls for each slot
+	Reason   Reason
 }
 
-// Picker chooses by the fewest calls in flight for the endpoint's weight.
+// Picker chooses by one rule. It is safe for concurrent use.
 type Picker struct {
 	centre string
+	rule   rule.Rule
 	board  *board.Board
+	seed   uint64
+	draws  atomic.Uint64
+	seat   atomic.Pointer[seat]
+
+	mu        sync.Mutex
+	detectors map[key]*outlier.Detector
+	index     atomic.Pointer[index]
 }
 
-// New returns a picker for an instance in the given data centre.
-func New(centre string, b *board.Board) *Picker {
-	return &Picker{centre: centre, board: b}
+// seat is the instance's place among those that share the limits of endpoints.
+type seat struct{ number, seats int }
+
+// index holds the groups of one table version.
+type index struct {
+	sheet  *sheet.Sheet
+	seat   *seat
+	mu     sync.RWMutex
+	groups map[key]*group
 }
 
-const (
-	awayPenalty    = 1.5 // factor for an endpoint in another data centre
-	failurePenalty = 4.0 // added for each failure since the last success
-	mostFailures   = 5
-)
+// New returns a picker for an instance in the given data centre. Pickers with
+// the same seed and history choose alike.
+func New(centre string, r rule.Rule, b *board.Board, seed uint64) *Picker {
+	return &Picker{centre: centre, rule: r, board: b, seed: seed, detectors: make(map[key]*outlier.Detector)}
+}
+
+// Seat sets which of the instances that share the limits of endpoints this one
+// is. Until then it uses each limit as if it were alone. A number outside 0 to
+// seats-1 has no share of any limit.
+func (p *Picker) Seat(number, seats int) { p.seat.Store(&seat{number, seats}) }
 
-// Pick chooses an endpoint. Endpoints of weight zero are never chosen.
+// Allowed reports whether an endpoint may get new work: it has weight and is
+// not leaving. It is to be asked again just before each send.
+func Allowed(s *sheet.Sheet, b *board.Board, name string) bool {
+	return s.Weight(name) > 0 && !b.Leaving(name)
+}
+
+// Pick chooses an endpoint. Endpoints that are not Allowed are never chosen.
 func (p *Picker) Pick(s *sheet.Sheet, q Query) Choice {
-	var best *endpoint.Endpoint
-	var bestScore float64
-	for _, e := range s.Role(q.Role) {
-		w := s.Weight(e.Name)
-		if w <= 0 || !e.Serves(q.Model) || slices.Contains(q.Tried, e.Name) {
-			continue
-		}
-		if score := p.score(e, w); best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
+	g := p.group(s, key{q.Role, q.Model})
+	if len(g.members) == 0 {
+		return Choice{Reason: Reason{Ground: NoRow}}
 	}
-	if best == nil {
-		return Choice{Reason: "no endpoint with weight for role " + q.Role}
+	switch r := p.rule.(type) {
+	case rule.Random:
+		return p.plain(g, q, 1, false)
+	case rule.TwoChoices:
+		return p.plain(g, q, 2, false)
+	case rule.LeastInFlight:
+		return p.plain(g, q, len(g.members), false)
+	case rule.RoundRobin:
+		return p.plain(g, q, 1, true)
+	case rule.Predicted:
+		g.judge(p.board, q.Now)
+		return p.predict(g, q)
+	default:
+		panic(fmt.Sprintf("picker: got rule %T, want one of package rule", r))
 	}
-	return Choice{Endpoint: best, Reason: fmt.Sprintf("least score %.3f", bestScore)}
 }
 
-func (p *Picker) score(e *endpoint.Endpoint, weight float64) float64 {
-	st := p.board.Get(e.Name)
-	score := (float64(st.InFlight) + 1 + failurePenalty*float64(min(st.Failures, mostFailures))) / weight
-	if e.Centre != p.centre {
-		score *= awayPenalty
+func (p *Picker) group(s *sheet.Sheet, k key) *group {
+	ix := p.index.Load()
+	if ix == nil || ix.sheet != s || ix.seat != p.seat.Load() {
+		ix = &index{sheet: s, seat: p.seat.Load(), groups: make(map[key]*group)}
+		p.index.Store(ix)
+	}
+	ix.mu.RLock()
+	g := ix.groups[k]
+	ix.mu.RUnlock()
+	if g != nil {
+		return g
+	}
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	if g = ix.groups[k]; g == nil {
+		g = p.newGroup(s, k)
+		ix.groups[k] = g
 	}
-	return score
+	return g
+}
+
+func (p *Picker) detector(k key) *outlier.Detector {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.detectors[k]
+	if d == nil {
+		d = outlier.New()
+		p.detectors[k] = d
+	}
+	return d
+}
+
+func (p *Picker) share(e *endpoint.Endpoint, seats int) (share int, shut bool) {
+	if e.Limit == 0 {
+		return 0, false
+	}
+	st := p.seat.Load()
+	if st == nil {
+		return e.Limit, false
+	}
+	if st.seats > 0 {
+		seats = st.seats
+	}
+	n := ceiling.Share(e.Limit, st.number, seats, e.Name)
+	return n, n == 0
+}
+
+// draw returns a pseudo-random number below n.
+func (p *Picker) draw(n int) int {
+	v := rand.NewPCG(p.seed, p.draws.Add(1))
+	return int(v.Uint64() % uint64(n))
+}
+
+func (p *Picker) usable(m *member, q *Query) bool {
+	return !p.board.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name)
 }
--- /dev/null
+++ b/internal/routing/picker/picker_test.go
@@ -0,0 +1,117 @@
+package picker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
+	"github.com/jacinthstile/jacinthstile/internal/table/centre"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/model"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+var now = time.Date(2026, 5, 4, 9, 0, 0, 0, time.UTC)
+
+// tableOf returns a table with n engines over ten data centres.
+func tableOf(t testing.TB, n int) *sheet.Sheet {
+	t.Helper()
+	s := &sheet.Sheet{
+		Version: 1,
+		Policy:  &policy.Policy{Eject: 0.3, Ticket: 1, Seats: 3},
+		Models:  []model.Model{{Name: "m", Version: "1"}},
+	}
+	for i := range 10 {
+		s.Centres = append(s.Centres, centre.Centre{Name: fmt.Sprintf("c%d", i), Weight: 1})
+	}
+	for i := range n {
+		s.Endpoints = append(s.Endpoints, endpoint.Endpoint{
+			Name: fmt.Sprintf("e%04d", i), Address: "10.0.0.1:9000", Centre: fmt.Sprintf("c%d", i%10),
+			Kind: endpoint.Engine, Role: "generate", Models: []string{"m"}, Weight: 1, Limit: 16, Cost: 4,
+		})
+	}
+	if err := s.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestPickNeverChoosesWithoutWeight(t *testing.T) {
+	for _, r := range []rule.Rule{rule.Random{}, rule.RoundRobin{}, rule.LeastInFlight{}, rule.TwoChoices{}, rule.Predicted{}} {
+		t.Run(fmt.Sprintf("%T", r), func(t *testing.T) {
+			g := NewWithT(t)
+			s := tableOf(t, 40)
+			for i := range s.Endpoints {
+				s.Endpoints[i].Weight = 0
+			}
+			s.Endpoints[7].Weight = 1
+			s.Endpoints[8].Weight = 1
+			b := board.New()
+			b.SetLeaving(map[string]bool{"e0008": true})
+			p := picker.New("c0", r, b, 1)
+			for range 50 {
+				c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
+				g.Expect(c.Endpoint).NotTo(BeNil())
+				g.Expect(c.Endpoint.Name).To(Equal("e0007"))
+			}
+			c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Tried: []string{"e0007"}, Now: now})
+			g.Expect(c.Endpoint).To(BeNil())
+			g.Expect(c.Full).To(BeFalse())
+			g.Expect(picker.Allowed(s, b, "e0007")).To(BeTrue())
+			g.Expect(picker.Allowed(s, b, "e0008")).To(BeFalse(), "leaving")
+			g.Expect(picker.Allowed(s, b, "e0009")).To(BeFalse(), "weight zero")
+			g.Expect(picker.Allowed(s, b, "nobody")).To(BeFalse(), "no row")
+		})
+	}
+}
+
+func TestPickSaysFullAtLimits(t *testing.T) {
+	g := NewWithT(t)
+	s := tableOf(t, 3)
+	b := board.New()
+	p := picker.New("c0", rule.Predicted{}, b, 1)
+	p.Seat(0, 4) // a quarter of each limit of 16
+	for range 12 {
+		c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
+		g.Expect(c.Endpoint).NotTo(BeNil())
+		b.Start(c.Endpoint.Name, now)
+	}
+	c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
+	g.Expect(c.Endpoint).To(BeNil())
+	g.Expect(c.Full).To(BeTrue())
+	g.Expect(c.Reason.Ground).To(Equal(picker.AtLimit))
+	b.Done("e0001", board.Result{Took: time.Second}, now.Add(time.Second))
+	c = p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now.Add(time.Second)})
+	g.Expect(c.Endpoint).NotTo(BeNil())
+	g.Expect(c.Endpoint.Name).To(Equal("e0001"))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 100, 1000, 4000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s := tableOf(b, n)
+			stats := board.New()
+			for i := range s.Endpoints {
+				stats.Start(s.Endpoints[i].Name, now)
+				stats.Done(s.Endpoints[i].Name, board.Result{Took: time.Second}, now.Add(time.Second))
+				stats.Report(s.Endpoints[i].Name, board.Load{Running: i % 12, Slots: 16}, now.Add(time.Second))
+			}
+			p := picker.New("c0", rule.Predicted{}, stats, 1)
+			blocks := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+			stats.Cached("e0003", blocks, false)
+			q := picker.Query{Role: "generate", Model: "m", Blocks: blocks, Now: now.Add(2 * time.Second)}
+			b.ReportAllocs()
+			for b.Loop() {
+				if p.Pick(s, q).Endpoint == nil {
+					b.Fatal("no endpoint")
+				}
+			}
+		})
+	}
+}
