Type the errors of peer calls and know peers by observation

Cause: a failed peer call did not say whether anything was sent, sessions were never detected as half open or closed when idle, and peers were only known from the platform's list.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
@@ -44,6 +45,7 @@
 	tables   *holder.Holder
 	feed     *feed.Feed
 	roster   *roster.Roster
+	members  *membership.Membership
 	mesh     *mesh.Mesh
 	callers  *http.Server
 	operator *http.Server
@@ -67,6 +69,9 @@
 	var closeMesh func()
 	d.mesh, closeMesh = mesh.New(self, nil, d.log)
 	d.roster = roster.New(source, d.log)
+	d.members = membership.New(c.Name)
+	d.mesh.Observe(d.members)
+	d.roster.Watch(d.members.Update)
 	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
 
 	stats := board.New()
--- /dev/null
+++ b/internal/peer/mesh/dial.go
@@ -0,0 +1,157 @@
+package mesh
+
+// This file opens sessions.
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/credential"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
+)
+
+// session returns the open session to an address, or opens one. Callers that
+// come while it is being opened wait for the same one.
+func (m *Mesh) session(ctx context.Context, address string) (*session, error) {
+	m.mu.Lock()
+	s, closed := m.dialed[address], m.closed
+	m.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	if s != nil && !s.mux.IsClosed() {
+		return s, nil
+	}
+	opened := m.dials.DoChan(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		return m.open(ctx, address)
+	})
+	select {
+	case r := <-opened:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*session), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (m *Mesh) open(ctx context.Context, address string) (*session, error) {
+	s, theirs, err := m.dial(ctx, address)
+	if err != nil {
+		m.observer().Missed(address)
+		return nil, err
+	}
+	if err := m.keep(address, s); err != nil {
+		s.mux.Close()
+		return nil, err
+	}
+	m.observer().Heard(s.peer, theirs)
+	return s, nil
+}
+
+// keep stores a new session, and closes the one that has been unused for
+// longest where more than mostDialed stand.
+func (m *Mesh) keep(address string, s *session) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return net.ErrClosed
+	}
+	m.dialed[address] = s
+	if len(m.dialed) > mostDialed {
+		m.evict(address)
+	}
+	return nil
+}
+
+func (m *Mesh) evict(except string) {
+	oldest := ""
+	for address, s := range m.dialed {
+		if address == except || s.busy() {
+			continue
+		}
+		if oldest == "" || s.used.Load() < m.dialed[oldest].used.Load() {
+			oldest = address
+		}
+	}
+	if oldest != "" {
+		m.dialed[oldest].mux.Close()
+		delete(m.dialed, oldest)
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, address string) (*session, string, error) {
+	raw, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, "", err
+	}
+	meter := newMeter(raw, &m.bytes)
+	stop := context.AfterFunc(ctx, func() { raw.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	var conn net.Conn = meter
+	if m.tls != nil {
+		conn = tls.Client(meter, m.tls)
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		raw.Close()
+		return nil, "", err
+	}
+	s := newSession(mux, meter)
+	stream, err := mux.OpenStream()
+	if err != nil {
+		mux.Close()
+		return nil, "", err
+	}
+	defer stream.Close()
+	theirs, err := m.greet(stream, s, conn)
+	if err != nil {
+		mux.Close()
+		return nil, "", err
+	}
+	return s, theirs, nil
+}
+
+// greet exchanges hellos on the first stream of a session, and returns the
+// address on which the peer accepts sessions.
+func (m *Mesh) greet(stream *yamux.Stream, s *session, conn net.Conn) (string, error) {
+	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return "", err
+	}
+	own := &peerpb.Hello{
+		Name:        m.self.Name,
+		Centre:      m.self.Centre,
+		Incarnation: m.self.Incarnation,
+		Seat:        uint32(m.self.Seat + 1),
+		Address:     m.address(),
+	}
+	if _, err := protodelim.MarshalTo(stream, own); err != nil {
+		return "", fmt.Errorf("sending hello: %w", err)
+	}
+	var h peerpb.Hello
+	if err := read(stream, &h); err != nil {
+		return "", fmt.Errorf("reading hello: %w", err)
+	}
+	if c, ok := conn.(*tls.Conn); ok {
+		if err := credential.CheckName(c.ConnectionState(), h.Name); err != nil {
+			return "", err
+		}
+	}
+	s.peer = identity.Identity{
+		Name:        h.Name,
+		Centre:      h.Centre,
+		Incarnation: h.Incarnation,
+		Seat:        int(h.Seat) - 1,
+	}
+	return h.Address, nil
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -1,5 +1,6 @@
 // Package mesh carries calls between daemons: one yamux session for each pair
 // that talks, one stream for each call, protobuf messages on the stream.
+// Sessions are opened on demand and closed when idle.
 package mesh
 
 // This file defines Mesh and its calling side.
@@ -8,58 +9,73 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
-	"io"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/encoding/protodelim"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
-	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
 )
 
 // Limits of sessions and messages.
 const (
-	dialTimeout  = 500 * time.Millisecond
-	helloTimeout = time.Second
-	callTimeout  = 5 * time.Second
-	mostMessage  = 2 << 20 // bytes
+	dialTimeout   = time.Second // TLS and hellos included
+	helloTimeout  = time.Second
+	callTimeout   = 5 * time.Second // of a call whose context has no deadline
+	silentTimeout = 2 * time.Second // a call this long without a byte from the peer closes the session
+	idleTimeout   = time.Minute     // of a session without calls
+	deafTimeout   = 3 * time.Minute // of an accepted session without a byte
+	sweepEvery    = 15 * time.Second
+	mostMessage   = 2 << 20 // bytes
+	mostCalls     = 200     // under way on one session
+	mostHandled   = 2048    // under way over all accepted sessions
+	mostDialed    = 64      // sessions
+	mostAccepted  = 512     // sessions
 )
 
 // Handler answers a peer call. Its error reaches the peer as text.
 type Handler func(ctx context.Context, from identity.Identity, body []byte) ([]byte, error)
 
+// Observer learns what the mesh sees of peers. Its methods must return soon.
+type Observer interface {
+	// Heard is called with each peer that said hello, and the address on which
+	// it accepts sessions, which is empty where it does not accept yet.
+	Heard(peer identity.Identity, address string)
+	// Missed is called when no session could be opened to an address.
+	Missed(address string)
+}
+
 // Mesh holds the sessions of one daemon.
 type Mesh struct {
-	self identity.Identity
-	tls  *tls.Config // nil for plain TCP
-	log  logr.Logger
+	self    identity.Identity
+	tls     *tls.Config // nil for plain TCP
+	log     logr.Logger
+	bytes   traffic
+	dials   singleflight.Group
+	handled chan struct{} // one for each call being handled
 
 	mu       sync.Mutex
 	handlers map[kind.Kind]Handler
+	watcher  Observer
+	own      string              // the address that this mesh accepts on
 	dialed   map[string]*session // by address
 	accepted map[*session]struct{}
 	closed   bool
 }
 
-type session struct {
-	mux  *yamux.Session
-	peer identity.Identity
-}
-
 // New returns a mesh without sessions, and a function that closes them all.
+// The TLS configuration serves both sides of a session; see package credential.
 func New(self identity.Identity, config *tls.Config, log logr.Logger) (*Mesh, func()) {
 	m := &Mesh{
 		self:     self,
 		tls:      config,
 		log:      log,
+		handled:  make(chan struct{}, mostHandled),
 		handlers: make(map[kind.Kind]Handler),
+		watcher:  ignorer{},
 		dialed:   make(map[string]*session),
 		accepted: make(map[*session]struct{}),
 	}
@@ -69,6 +85,11 @@
 // Self returns the identity of this daemon.
 func (m *Mesh) Self() identity.Identity { return m.self }
 
+// Bytes returns how many bytes were sent and received over all sessions.
+func (m *Mesh) Bytes() (sent, received int64) {
+	return m.bytes.sent.Load(), m.bytes.received.Load()
+}
+
 // Handle registers the handler of a kind of call. It is called before Serve.
 func (m *Mesh) Handle(k kind.Kind, h Handler) {
 	m.mu.Lock()
@@ -76,167 +97,84 @@
 	m.handlers[k] = h
 }
 
-// Call sends one call to the daemon at address and decodes its answer into out.
-// It returns who answered. A session is opened where none stands.
-func (m *Mesh) Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	s, err := m.session(ctx, address)
-	if err != nil {
-		return identity.Identity{}, fmt.Errorf("calling %s at %s: %w", k, address, err)
-	}
-	if err := s.call(ctx, k, in, out); err != nil {
-		return s.peer, fmt.Errorf("calling %s at %s: %w", k, address, err)
-	}
-	return s.peer, nil
-}
-
-func (m *Mesh) session(ctx context.Context, address string) (*session, error) {
+// Observe sets the observer. It is called before Serve.
+func (m *Mesh) Observe(o Observer) {
 	m.mu.Lock()
-	s := m.dialed[address]
-	m.mu.Unlock()
-	if s != nil && !s.mux.IsClosed() {
-		return s, nil
-	}
-	s, err := m.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return m.keep(address, s)
+	defer m.mu.Unlock()
+	m.watcher = o
 }
 
-// keep stores a new session, or returns the one that another call stored meanwhile.
-func (m *Mesh) keep(address string, s *session) (*session, error) {
+func (m *Mesh) observer() Observer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed {
-		s.mux.Close()
-		return nil, net.ErrClosed
-	}
-	if old := m.dialed[address]; old != nil && !old.mux.IsClosed() {
-		s.mux.Close()
-		return old, nil
-	}
-	m.dialed[address] = s
-	return s, nil
+	return m.watcher
 }
 
-func (m *Mesh) dial(ctx context.Context, address string) (*session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := m.connect(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	mux, err := yamux.Client(conn, muxConfig())
-	if err != nil {
-		conn.Close()
-		return nil, err
-	}
-	stream, err := mux.OpenStream()
-	if err != nil {
-		mux.Close()
-		return nil, err
-	}
-	defer stream.Close()
-	peer, err := m.greet(stream)
-	if err != nil {
-		mux.Close()
-		return nil, err
-	}
-	return &session{mux: mux, peer: peer}, nil
+func (m *Mesh) address() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own
 }
 
-func (m *Mesh) connect(ctx context.Context, address string) (net.Conn, error) {
-	if m.tls == nil {
-		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}
-	return (&tls.Dialer{Config: m.tls}).DialContext(ctx, "tcp", address)
+// Call sends one call to the daemon at address and decodes its answer into out.
+// It returns who answered. A session is opened where none stands. The error is
+// an *Unreachable, a *Lost or a *Remote. A context without a deadline gets one
+// of 5 s.
+func (m *Mesh) Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error) {
+	return m.call(ctx, address, nil, k, in, out)
 }
 
-// greet exchanges hellos on the first stream of a session.
-func (m *Mesh) greet(stream *yamux.Stream) (identity.Identity, error) {
-	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
-		return identity.Identity{}, err
-	}
-	own := &peerpb.Hello{
-		Name:        m.self.Name,
-		Centre:      m.self.Centre,
-		Incarnation: m.self.Incarnation,
-		Seat:        uint32(m.self.Seat + 1),
-	}
-	if _, err := protodelim.MarshalTo(stream, own); err != nil {
-		return identity.Identity{}, fmt.Errorf("sending hello: %w", err)
-	}
-	var h peerpb.Hello
-	if err := read(stream, &h); err != nil {
-		return identity.Identity{}, fmt.Errorf("reading hello: %w", err)
-	}
-	return identity.Identity{
-		Name:        h.Name,
-		Centre:      h.Centre,
-		Incarnation: h.Incarnation,
-		Seat:        int(h.Seat) - 1,
-	}, nil
+// CallExact is like Call, but sends nothing unless want's very incarnation
+// answers at address. It returns a *Gone where another incarnation of that name
+// does, and an *Unreachable where another name does.
+func (m *Mesh) CallExact(ctx context.Context, address string, want identity.Identity, k kind.Kind, in, out proto.Message) error {
+	_, err := m.call(ctx, address, &want, k, in, out)
+	return err
 }
 
-func (s *session) call(ctx context.Context, k kind.Kind, in, out proto.Message) error {
+func (m *Mesh) call(ctx context.Context, address string, want *identity.Identity, k kind.Kind, in, out proto.Message) (identity.Identity, error) {
 	body, err := proto.Marshal(in)
 	if err != nil {
-		return err
+		return identity.Identity{}, &Unreachable{Address: address, Cause: err}
 	}
-	stream, err := s.mux.OpenStream()
-	if err != nil {
-		return err
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 	}
-	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if _, err := protodelim.MarshalTo(stream, &peerpb.Request{Kind: uint32(k), Body: body}); err != nil {
-		return err
-	}
-	var resp peerpb.Response
-	if err := read(stream, &resp); err != nil {
-		return err
+	s, err := m.session(ctx, address)
+	if err != nil {
+		return identity.Identity{}, &Unreachable{Address: address, Cause: err}
 	}
-	if resp.Error != "" {
-		return errors.New(resp.Error)
+	if want != nil {
+		if err := checkPeer(address, s.peer, *want); err != nil {
+			return s.peer, err
+		}
 	}
-	return proto.Unmarshal(resp.Body, out)
+	return s.peer, s.call(ctx, address, k, body, out)
 }
 
-// read decodes one message with its length in front. protodelim wants single bytes.
-func read(r io.Reader, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: mostMessage}.UnmarshalFrom(byteReader{r}, m)
-}
-
-type byteReader struct{ io.Reader }
-
-// ReadByte reads one byte.
-func (b byteReader) ReadByte() (byte, error) {
-	var one [1]byte
-	_, err := io.ReadFull(b.Reader, one[:])
-	return one[0], err
-}
-
-func muxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.LogOutput = io.Discard
-	c.EnableKeepAlive = false
-	c.ConnectionWriteTimeout = callTimeout
-	return c
+func checkPeer(address string, got, want identity.Identity) error {
+	if got.Name != want.Name {
+		return &Unreachable{Address: address, Cause: errors.New("got peer " + got.Name + ", want " + want.Name)}
+	}
+	if got.Incarnation != want.Incarnation {
+		return &Gone{Want: want, Got: got}
+	}
+	return nil
 }
 
 func (m *Mesh) close() {
 	m.mu.Lock()
 	m.closed = true
-	var all []*session
+	all := make([]*session, 0, len(m.dialed)+len(m.accepted))
 	for _, s := range m.dialed {
 		all = append(all, s)
 	}
 	for s := range m.accepted {
 		all = append(all, s)
 	}
+	clear(m.dialed)
 	m.mu.Unlock()
 	for _, s := range all {
 		s.mux.Close()
@@ -250,3 +188,12 @@
 	m.closed = false
 	m.mu.Unlock()
 }
+
+// ignorer is the observer of a mesh that has none.
+type ignorer struct{}
+
+// Heard does nothing.
+func (ignorer) Heard(identity.Identity, string) {}
+
+// Missed does nothing.
+func (ignorer) Missed(string) {}
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -17,42 +18,54 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
 )
 
+const acceptPause = 50 * time.Millisecond // after a failed accept
+
 // Serve accepts sessions until the listener is closed.
 func (m *Mesh) Serve(ctx context.Context, l net.Listener) error {
+	m.mu.Lock()
+	m.own = l.Addr().String()
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go m.sweep(ctx)
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accepting peers: %w", err)
+			m.log.Error(err, "accepting a peer failed")
+			time.Sleep(acceptPause)
+			continue
 		}
 		go m.accept(ctx, conn)
 	}
 }
 
-func (m *Mesh) accept(ctx context.Context, conn net.Conn) {
+func (m *Mesh) accept(ctx context.Context, raw net.Conn) {
+	meter := newMeter(raw, &m.bytes)
+	var conn net.Conn = meter
+	if m.tls != nil {
+		conn = tls.Server(meter, m.tls)
+	}
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
-		conn.Close()
+		raw.Close()
 		return
 	}
-	s := &session{mux: mux}
+	s := newSession(mux, meter)
 	if !m.track(s) {
 		mux.Close()
+		m.log.V(1).Info("peer refused", "remote", raw.RemoteAddr().String(), "reason", "too many sessions")
 		return
 	}
 	defer m.untrack(s)
-	first, err := mux.AcceptStream()
+	theirs, err := m.welcome(s, conn)
 	if err != nil {
+		m.log.V(1).Info("peer refused", "remote", raw.RemoteAddr().String(), "reason", err.Error())
 		return
 	}
-	s.peer, err = m.greet(first)
-	first.Close()
-	if err != nil {
-		m.log.V(1).Info("peer refused", "remote", conn.RemoteAddr().String(), "reason", err.Error())
-		return
-	}
+	m.observer().Heard(s.peer, theirs)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
@@ -62,10 +75,22 @@
 	}
 }
 
+// welcome takes the hello of a new session, which must come within helloTimeout.
+func (m *Mesh) welcome(s *session, conn net.Conn) (string, error) {
+	late := time.AfterFunc(helloTimeout, func() { s.mux.Close() })
+	defer late.Stop()
+	first, err := s.mux.AcceptStream()
+	if err != nil {
+		return "", err
+	}
+	defer first.Close()
+	return m.greet(first, s, conn)
+}
+
 func (m *Mesh) track(s *session) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed {
+	if m.closed || len(m.accepted) >= mostAccepted {
 		return false
 	}
 	m.accepted[s] = struct{}{}
@@ -81,25 +106,36 @@
 
 func (m *Mesh) answer(ctx context.Context, from identity.Identity, stream *yamux.Stream) {
 	defer stream.Close()
-	if err := stream.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
+	if err := stream.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return
 	}
 	var req peerpb.Request
 	if err := read(stream, &req); err != nil {
 		return
 	}
-	var resp peerpb.Response
-	body, err := m.handle(ctx, from, kind.Kind(req.Kind), req.Body)
-	if err != nil {
-		resp.Error = err.Error()
-	} else {
-		resp.Body = body
+	resp := m.respond(ctx, from, &req)
+	if err := stream.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return
 	}
-	if _, err := protodelim.MarshalTo(stream, &resp); err != nil {
+	if _, err := protodelim.MarshalTo(stream, resp); err != nil {
 		m.log.V(1).Info("peer answer lost", "peer", from.String(), "reason", err.Error())
 	}
 }
 
+func (m *Mesh) respond(ctx context.Context, from identity.Identity, req *peerpb.Request) *peerpb.Response {
+	select {
+	case m.handled <- struct{}{}:
+		defer func() { <-m.handled }()
+	default:
+		return &peerpb.Response{Error: "too many calls are being handled; this one was not"}
+	}
+	body, err := m.handle(ctx, from, kind.Kind(req.Kind), req.Body)
+	if err != nil {
+		return &peerpb.Response{Error: err.Error()}
+	}
+	return &peerpb.Response{Body: body}
+}
+
 func (m *Mesh) handle(ctx context.Context, from identity.Identity, k kind.Kind, body []byte) ([]byte, error) {
 	m.mu.Lock()
 	h := m.handlers[k]
@@ -109,3 +145,34 @@
 	}
 	return h(ctx, from, body)
 }
+
+// sweep closes idle and deaf sessions until ctx ends.
+func (m *Mesh) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			m.sweepAt(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Mesh) sweepAt(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, s := range m.dialed {
+		idle := !s.busy() && now.Sub(s.lastUsed()) > idleTimeout
+		if idle || s.mux.IsClosed() {
+			s.mux.Close()
+			delete(m.dialed, address)
+		}
+	}
+	for s := range m.accepted {
+		if now.Sub(s.meter.lastHeard()) > deafTimeout {
+			s.mux.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/neighbour/neighbour.go
@@ -0,0 +1,61 @@
+// Package neighbour chooses by rendezvous hash whom an instance keeps talking
+// to. It is a pure function of names.
+package neighbour
+
+// This file defines Choose and Rank.
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Choose returns the n names that rank first for key, in the order of their
+// rank, or all where there are fewer. A name that joins or leaves moves at most
+// one of the others in or out.
+func Choose(key string, names []string, n int) []string {
+	ranked := make([]scored, 0, len(names))
+	for _, name := range names {
+		ranked = append(ranked, scored{name, score(key, name)})
+	}
+	slices.SortFunc(ranked, scored.compare)
+	out := make([]string, 0, min(n, len(ranked)))
+	for _, r := range ranked[:min(n, len(ranked))] {
+		out = append(out, r.name)
+	}
+	return out
+}
+
+// Rank returns how many of names rank before self for key.
+func Rank(key, self string, names []string) int {
+	own := scored{self, score(key, self)}
+	rank := 0
+	for _, name := range names {
+		if name != self && (scored{name, score(key, name)}).compare(own) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+type scored struct {
+	name  string
+	score uint64
+}
+
+func (s scored) compare(o scored) int {
+	if c := cmp.Compare(o.score, s.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.name, o.name)
+}
+
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(key)
+	d.Write([]byte{0})
+	d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/peer/neighbour/neighbour_test.go
@@ -0,0 +1,105 @@
+package neighbour_test
+
+// This file tests the choice at the size of the fleet.
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/neighbour"
+)
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("entry-%d", i)
+	}
+	return out
+}
+
+func TestChooseMovesAtMostOneWhenANameLeaves(t *testing.T) {
+	g := NewWithT(t)
+	all := names(420)
+	for _, self := range all[:20] {
+		before := neighbour.Choose(self, all, 4)
+		for i, gone := range all {
+			after := neighbour.Choose(self, slices.Delete(slices.Clone(all), i, i+1), 4)
+			moved := 0
+			for _, n := range after {
+				if !slices.Contains(before, n) {
+					moved++
+				}
+			}
+			g.Expect(moved).To(BeNumerically("<=", 1))
+			g.Expect(after).NotTo(ContainElement(gone))
+		}
+	}
+}
+
+func TestRankAgreesWithChoose(t *testing.T) {
+	g := NewWithT(t)
+	all := names(50)
+	for want, name := range neighbour.Choose("version 7", all, len(all)) {
+		g.Expect(neighbour.Rank("version 7", name, all)).To(Equal(want))
+	}
+}
+
+// hops returns the greatest distance between an instance and the others over
+// the links that are chosen, -1 where one is not reached.
+func hops(all []string, fanOut int, dead map[string]bool) int {
+	links := map[string][]string{}
+	for _, a := range all {
+		if dead[a] {
+			continue
+		}
+		for _, b := range neighbour.Choose(a, slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == a }), fanOut) {
+			if !dead[b] {
+				links[a] = append(links[a], b)
+				links[b] = append(links[b], a)
+			}
+		}
+	}
+	most := 0
+	for _, from := range all {
+		if dead[from] {
+			continue
+		}
+		distance := map[string]int{from: 0}
+		queue := []string{from}
+		for len(queue) > 0 {
+			at := queue[0]
+			queue = queue[1:]
+			for _, to := range links[at] {
+				if _, ok := distance[to]; !ok {
+					distance[to] = distance[at] + 1
+					most = max(most, distance[to])
+					queue = append(queue, to)
+				}
+			}
+		}
+		if len(distance) != len(all)-len(dead) {
+			return -1
+		}
+	}
+	return most
+}
+
+// TestLinksReachTheFleetInFewHops is the weighing of the fan-out: with 4 links
+// chosen by each of 420 instances, none is further than 6 hops, also before
+// anyone has noticed that a data centre of 42 is dead.
+func TestLinksReachTheFleetInFewHops(t *testing.T) {
+	g := NewWithT(t)
+	all := names(420)
+	dead := map[string]bool{}
+	for _, n := range all[42:84] {
+		dead[n] = true
+	}
+	for _, fanOut := range []int{2, 3, 4, 6, 8} {
+		t.Logf("fan-out %d: %d hops, %d with 42 dead", fanOut, hops(all, fanOut, nil), hops(all, fanOut, dead))
+	}
+	g.Expect(hops(all, 4, nil)).To(And(BeNumerically(">", 0), BeNumerically("<=", 6)))
+	g.Expect(hops(all, 4, dead)).To(And(BeNumerically(">", 0), BeNumerically("<=", 6)))
+}
