Send non-idempotent calls at most once, decided at the connection

Cause: net/http repeats requests of its own accord (idempotency key, no body, reused connection), follows redirects, and its WroteHeaders trace comes after the buffered write, so that a cut write could pass for one that never left. Change: non-idempotent calls get a connection of their own; the connection asks the call (clock, check of the table) just before the first byte, and giving a call up revokes its right to be sent, so 'unsent' is exact. Events of other calls and repeated tokens are dropped and counted; streams keep their connection; Cancel runs in the background, bounded.

--- a/internal/endpoint/call/call.go
+++ b/internal/endpoint/call/call.go
@@ -18,6 +18,11 @@
 	Tokens   int    // most tokens to generate; zero for pools
 	Priority int    // higher is served first
 	Import   string // handle of an exported KV cache, or empty
+	Once     bool   // not idempotent: may leave at most once
+
+	// Check is asked just before the first byte leaves. An error keeps the
+	// call from being sent. It may be nil.
+	Check func() error
 }
 
 // Token is one piece of a streamed answer.
@@ -34,4 +39,7 @@
 	Prompt int           // prompt tokens in all
 	Busy   time.Duration // time that the endpoint spent on the call, as it reports it
 	Reason string        // why generation ended: "stop" or "length"
+
+	// Dropped counts events that were not used: of another call, or repeated.
+	Dropped int
 }
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -1,5 +1,6 @@
 // Package client sends calls to endpoints and accepts only whole answers that
-// carry the identity of the call.
+// carry the identity of the call. A failure tells whether a byte of the call
+// may have left.
 package client
 
 // This file defines Client, its construction and the sending of requests.
@@ -8,13 +9,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
@@ -26,65 +25,109 @@
 	idleTimeout   = 30 * time.Second
 	idlePerHost   = 64
 	headerTimeout = 60 * time.Second
-	mostAnswer    = 8 << 20 // bytes
-	mostRefusal   = 4 << 10 // bytes kept of an error body
+	mostHeader    = 64 << 10 // bytes
+	mostAnswer    = 8 << 20  // bytes
+	mostRefusal   = 4 << 10  // bytes kept of an error body
 )
 
 // HeaderNotRun is set by an endpoint that refuses before running.
 const HeaderNotRun = "Jacinthstile-Not-Run"
 
-// Client sends calls over pooled connections.
+// Client sends calls over pooled connections, and calls that may be sent only
+// once over a connection of their own.
 type Client struct {
-	http *http.Client
+	pooled  *http.Transport
+	single  *http.Transport
+	cancels chan struct{} // one element for each cancellation under way
+	running sync.WaitGroup
 }
 
-// New returns a client and a function that closes its idle connections.
+// New returns a client and a function that closes its idle connections and
+// waits for its cancellations.
 func New() (*Client, func()) {
-	t := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   idlePerHost,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
+	c := &Client{
+		pooled:  newTransport(),
+		single:  newTransport(),
+		cancels: make(chan struct{}, mostCancels),
+	}
+	// net/http repeats a request by itself only on a reused connection.
+	c.single.DisableKeepAlives = true
+	return c, func() {
+		c.running.Wait()
+		c.pooled.CloseIdleConnections()
 	}
-	return &Client{http: &http.Client{Transport: t}}, t.CloseIdleConnections
 }
 
-// send posts a request and classifies what goes wrong before the answer's headers.
-// The body is given as a reader without a replay function, so that the transport
-// never repeats a request of which a byte was written.
-func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{
-		WroteHeaders: func() { wrote.Store(true) },
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &wire{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: mostHeader,
+		DisableCompression:     true,
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
+}
+
+// request is one HTTP request to an endpoint.
+type request struct {
+	method string
+	url    string
+	header http.Header
+	body   []byte
+	once   bool         // may leave at most once
+	check  func() error // asked just before the first byte; may be nil
+}
+
+// send sends a request and classifies what goes wrong before the answer's
+// headers. Redirects are not followed. The body is given as a reader without a
+// replay function, so that the transport never repeats it.
+func (c *Client) send(ctx context.Context, q request) (*http.Response, error) {
+	s := &sending{once: q.once, check: q.check}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if w, ok := info.Conn.(*wire); ok {
+			w.current.Store(s)
+		}
+	}}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), q.method, q.url, nil)
 	if err != nil {
 		return nil, failure.New(failure.Unsent, err, "building request")
 	}
-	if len(body) > 0 {
-		req.Body = once(body)
-		req.ContentLength = int64(len(body))
+	if len(q.body) > 0 {
+		req.Body = hidden(q.body)
+		req.ContentLength = int64(len(q.body))
+	}
+	if q.header != nil {
+		req.Header = q.header
 	}
-	if header != nil {
-		req.Header = header
+	transport := c.pooled
+	if q.once {
+		transport = c.single
 	}
-	resp, err := c.http.Do(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, classify(ctx, err, wrote.Load())
+		return nil, classify(ctx, err, s)
 	}
 	return resp, nil
 }
 
-// once hides the type of the reader, since net/http replays bodies that it recognises.
-func once(body []byte) io.ReadCloser {
+// hidden hides the type of the reader, since net/http repeats bodies that it recognises.
+func hidden(body []byte) io.ReadCloser {
 	return io.NopCloser(struct{ io.Reader }{bytes.NewReader(body)})
 }
 
-func classify(ctx context.Context, err error, wrote bool) error {
-	var op *net.OpError
+// classify turns a transport's error into a failure. It revokes the right to
+// send first: the transport's writer may still be at work when its error returns.
+func classify(ctx context.Context, err error, s *sending) error {
 	switch {
-	case !wrote || errors.As(err, &op) && op.Op == "dial":
+	case s.revoke():
 		return failure.New(failure.Unsent, err, "sending")
 	case ctx.Err() != nil:
 		return failure.New(failure.Late, context.Cause(ctx), "waiting for the answer")
@@ -103,17 +146,8 @@
 	return failure.New(kind, nil, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 }
 
-// Load asks an engine, pool or service for its load report.
-func (c *Client) Load(ctx context.Context, address string) (Report, error) {
-	var w wireLoad
-	if err := c.getJSON(ctx, "http://"+address+"/v1/load", &w); err != nil {
-		return Report{}, err
-	}
-	return w.report(), nil
-}
-
 func (c *Client) getJSON(ctx context.Context, url string, into any) error {
-	resp, err := c.send(ctx, http.MethodGet, url, nil, nil)
+	resp, err := c.send(ctx, request{method: http.MethodGet, url: url})
 	if err != nil {
 		return err
 	}
@@ -121,16 +155,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, mostAnswer)).Decode(into); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
 		return failure.New(failure.Lost, err, "reading %s", url)
 	}
 	return nil
 }
-
-func millis(ctx context.Context, deadline time.Time) (string, error) {
-	left := time.Until(deadline)
-	if left <= 0 {
-		return "", failure.New(failure.Unsent, context.Cause(ctx), "deadline passed %v ago", -left)
-	}
-	return strconv.FormatInt(max(1, left.Milliseconds()), 10), nil
-}
--- /dev/null
+++ b/internal/endpoint/client/client_test.go
@@ -0,0 +1,326 @@
+package client_test
+
+// This file tests what is concluded about a call's execution, and that answers
+// are accepted only whole and for their own call.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/call"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newClient(t *testing.T) *client.Client {
+	c, closeClient := client.New()
+	t.Cleanup(closeClient)
+	return c
+}
+
+// dying answers the first request of each connection and reads the next one
+// whole, then closes. It counts the requests by path.
+type dying struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (d *dying) count(path string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[path]
+}
+
+func (d *dying) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.runs[r.URL.Path]++
+	d.mu.Unlock()
+	if r.URL.Path != "/warm" {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(client.HeaderRequest, r.Header.Get(client.HeaderRequest))
+}
+
+func TestNonIdempotentCallsAreNeverReplayed(t *testing.T) {
+	for _, c := range []struct{ name, method, body, key string }{
+		{"get without body", http.MethodGet, "", ""},
+		{"post without body and with a key", http.MethodPost, "", "k"},
+		{"post with body and key", http.MethodPost, "x", "k"},
+		{"delete with a key", http.MethodDelete, "", "k"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := &dying{runs: map[string]int{}}
+			s := httptest.NewServer(d)
+			defer s.Close()
+			s.Config.ErrorLog = nil
+
+			unprotected := &http.Client{Transport: &http.Transport{}}
+			defer unprotected.CloseIdleConnections()
+			get(unprotected, http.MethodGet, s.URL+"/warm", "", "")
+			get(unprotected, c.method, s.URL+"/unprotected", c.body, c.key)
+			g.Expect(d.count("/unprotected")).To(BeNumerically(">", 1), "the test must provoke a replay")
+
+			ours := newClient(t)
+			address := strings.TrimPrefix(s.URL, "http://")
+			p := client.Plain{Request: "r", Method: http.MethodGet, Path: "/warm", Deadline: time.Now().Add(5 * time.Second)}
+			_, err := ours.Plain(t.Context(), address, p)
+			g.Expect(err).NotTo(HaveOccurred())
+			p.Method, p.Path, p.Key, p.Once = c.method, "/protected", c.key, true
+			p.Body = []byte(c.body)
+			_, err = ours.Plain(t.Context(), address, p)
+			g.Expect(failure.KindOf(err)).To(Equal(failure.Lost))
+			g.Expect(d.count("/protected")).To(Equal(1))
+		})
+	}
+}
+
+func get(c *http.Client, method, url, body, key string) {
+	req, _ := http.NewRequest(method, url, strings.NewReader(body))
+	if body == "" {
+		req.Body = nil
+	}
+	if key != "" {
+		req.Header.Set(client.HeaderKey, key)
+	}
+	if resp, err := c.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	g := NewWithT(t)
+	runs := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		w.Header().Set(client.HeaderRequest, r.Header.Get(client.HeaderRequest))
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	defer s.Close()
+	reply, err := newClient(t).Plain(t.Context(), strings.TrimPrefix(s.URL, "http://"), client.Plain{
+		Request: "r", Method: http.MethodPost, Path: "/book", Once: true, Deadline: time.Now().Add(time.Second),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Status).To(Equal(http.StatusTemporaryRedirect))
+	g.Expect(runs).To(Equal(1))
+}
+
+// sniffer accepts connections and keeps which request identities it saw a byte of.
+type sniffer struct {
+	net.Listener
+	mu   sync.Mutex
+	seen map[string]bool
+	any  int
+}
+
+func sniff(t *testing.T) *sniffer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sniffer{Listener: l, seen: map[string]bool{}}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { s.read(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		wg.Wait()
+	})
+	return s
+}
+
+func (s *sniffer) read(c net.Conn) {
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	buf := make([]byte, 4096)
+	n, _ := c.Read(buf)
+	if n == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.any++
+	line, _, _ := strings.Cut(string(buf[:n]), "\r\n")
+	if fields := strings.Fields(line); len(fields) > 1 {
+		s.seen[fields[1]] = true
+	}
+}
+
+// A call that is cancelled at any moment says "unsent" only if no byte of it arrived.
+func TestUnsentMeansThatNoByteLeft(t *testing.T) {
+	g := NewWithT(t)
+	s := sniff(t)
+	c := newClient(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	unsent := map[string]bool{}
+	for i := range 400 {
+		path := fmt.Sprintf("/%d", i)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(400))*time.Microsecond)
+		_, err := c.Plain(ctx, s.Addr().String(), client.Plain{
+			Request: "r", Method: http.MethodPost, Path: path, Body: []byte("x"),
+			Once: i%2 == 0, Deadline: time.Now().Add(time.Second),
+		})
+		cancel()
+		g.Expect(err).To(HaveOccurred())
+		if failure.KindOf(err) == failure.Unsent {
+			unsent[path] = true
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for path := range unsent {
+		g.Expect(s.seen[path]).To(BeFalse(), "%s was called unsent and arrived", path)
+	}
+	t.Logf("unsent %d of 400, arrived %d", len(unsent), s.any)
+}
+
+func TestNothingLeavesOnceTheCheckFails(t *testing.T) {
+	g := NewWithT(t)
+	s := sniff(t)
+	c := newClient(t)
+	_, err := c.Plain(t.Context(), s.Addr().String(), client.Plain{
+		Request: "r", Method: http.MethodPost, Path: "/book", Once: true, Deadline: time.Now().Add(time.Second),
+		Check: func() error { return errors.New("weight is zero") },
+	})
+	g.Expect(failure.KindOf(err)).To(Equal(failure.Unsent))
+	// A process that is paused after the check wakes past the deadline.
+	_, err = c.Do(t.Context(), s.Addr().String(), call.Call{
+		Request: "r", Stage: "s", Attempt: 1, Once: true, Deadline: time.Now().Add(30 * time.Millisecond),
+		Check: func() error { time.Sleep(60 * time.Millisecond); return nil },
+	}, nil)
+	g.Expect(failure.KindOf(err)).To(Equal(failure.Unsent))
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Expect(s.any).To(BeZero())
+}
+
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l.Close()
+	_, err = newClient(t).Plain(t.Context(), l.Addr().String(), client.Plain{
+		Request: "r", Method: http.MethodPost, Path: "/book", Once: true, Deadline: time.Now().Add(time.Second),
+	})
+	g.Expect(failure.KindOf(err)).To(Equal(failure.Unsent))
+}
+
+type streamCase struct {
+	Name    string
+	From    int
+	Events  []json.RawMessage
+	Output  string
+	Dropped int
+	Kind    string
+}
+
+func TestStreamsAreAcceptedOnlyWholeAndOwn(t *testing.T) {
+	data, err := os.ReadFile("testdata/streams.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []streamCase
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for _, e := range c.Events {
+					fmt.Fprintf(w, "data: %s\n\n", e)
+				}
+			}))
+			defer s.Close()
+			next := c.From
+			answer, err := newClient(t).Do(t.Context(), strings.TrimPrefix(s.URL, "http://"), call.Call{
+				Request: "r", Stage: "s", Attempt: 2, From: c.From, Deadline: time.Now().Add(time.Second),
+			}, func(k call.Token) error {
+				g.Expect(k.Index).To(Equal(next))
+				next++
+				return nil
+			})
+			if c.Kind != "" {
+				g.Expect(failure.KindOf(err).String()).To(Equal(c.Kind), "%v", err)
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(answer.Output).To(Equal(c.Output))
+			g.Expect(answer.Dropped).To(Equal(c.Dropped))
+		})
+	}
+}
+
+func TestAnswerOfNoStatedEndIsLost(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, buf, _ := w.(http.Hijacker).Hijack()
+		defer conn.Close()
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\n\r\nhalf an ans",
+			client.HeaderRequest, r.Header.Get(client.HeaderRequest))
+		buf.Flush()
+	}))
+	defer s.Close()
+	_, err := newClient(t).Plain(t.Context(), strings.TrimPrefix(s.URL, "http://"), client.Plain{
+		Request: "r", Method: http.MethodGet, Path: "/status", Deadline: time.Now().Add(time.Second),
+	})
+	g.Expect(failure.KindOf(err)).To(Equal(failure.Lost))
+}
+
+func TestStreamsReuseConnectionsAndCancelReachesTheEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	conns := map[string]bool{}
+	deleted := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			deleted <- r.URL.Path
+			return
+		}
+		mu.Lock()
+		conns[r.RemoteAddr] = true
+		mu.Unlock()
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, `data: {"request":"r","stage":"s","attempt":1,"done":true}`+"\n\n")
+		http.NewResponseController(w).Flush()
+	}))
+	defer s.Close()
+	c := newClient(t)
+	q := call.Call{Request: "r", Stage: "s", Attempt: 1, Deadline: time.Now().Add(5 * time.Second)}
+	for range 10 {
+		_, err := c.Do(t.Context(), s.Listener.Addr().String(), q, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2 * time.Millisecond)
+	}
+	mu.Lock()
+	g.Expect(len(conns)).To(BeNumerically("<", 10))
+	mu.Unlock()
+	c.Cancel(s.Listener.Addr().String(), q)
+	g.Eventually(deleted).Should(Receive(Equal("/v1/stages/r/s/1")))
+}
--- a/internal/endpoint/client/plain.go
+++ b/internal/endpoint/client/plain.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
@@ -26,7 +27,9 @@
 	Type     string // content type of the body
 	Body     []byte
 	Deadline time.Time
-	Key      string // idempotency key, or empty
+	Key      string       // idempotency key, or empty
+	Once     bool         // not idempotent: may leave at most once
+	Check    func() error // asked just before the first byte; an error keeps it from leaving; may be nil
 }
 
 // Reply is a plain service's whole answer. Its status may be an error of the service's own.
@@ -36,32 +39,43 @@
 	Body   []byte
 }
 
-// Plain sends one call to a plain service. An answer below status 500 counts as the service's own answer.
+// Plain sends one call to a plain service. Any whole answer counts as the
+// service's own, but for one that says that nothing ran.
 func (c *Client) Plain(ctx context.Context, address string, p Plain) (Reply, error) {
-	left, err := millis(ctx, p.Deadline)
-	if err != nil {
-		return Reply{}, err
+	left := time.Until(p.Deadline)
+	if left <= 0 {
+		return Reply{}, failure.New(failure.Unsent, nil, "deadline passed %v ago", -left)
 	}
 	header := http.Header{}
 	header.Set(HeaderRequest, p.Request)
-	header.Set(HeaderDeadline, left)
+	header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	if p.Type != "" {
 		header.Set("Content-Type", p.Type)
 	}
 	if p.Key != "" {
 		header.Set(HeaderKey, p.Key)
 	}
-	resp, err := c.send(ctx, p.Method, "http://"+address+p.Path, header, p.Body)
+	resp, err := c.send(ctx, request{
+		method: p.Method, url: "http://" + address + p.Path, header: header, body: p.Body,
+		once: p.Once, check: before(p.Deadline, p.Check),
+	})
 	if err != nil {
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	if got := resp.Header.Get(HeaderRequest); got != p.Request {
-		return Reply{}, failure.New(failure.Foreign, nil, "got answer of %q, want %q", got, p.Request)
+	return readReply(ctx, resp, p.Request)
+}
+
+func readReply(ctx context.Context, resp *http.Response, id string) (Reply, error) {
+	if got := resp.Header.Get(HeaderRequest); got != id {
+		return Reply{}, failure.New(failure.Foreign, nil, "got answer of %q, want %q", got, id)
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.Header.Get(HeaderNotRun) != "" {
 		return Reply{}, refusal(resp)
 	}
+	if isOpenEnded(resp) {
+		return Reply{}, failure.New(failure.Lost, nil, "got an answer of no stated length, want one whose end can be told")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -73,3 +87,25 @@
 	}
 	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// isOpenEnded reports whether only the closing of the connection ends the
+// body, so that a cut answer looks like a whole one.
+func isOpenEnded(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// before returns a check that also fails once the deadline has passed. The
+// clock is read last, next to the write.
+func before(deadline time.Time, check func() error) func() error {
+	return func() error {
+		if check != nil {
+			if err := check(); err != nil {
+				return err
+			}
+		}
+		if late := time.Since(deadline); late >= 0 {
+			return failure.New(failure.Unsent, nil, "deadline passed %v ago", late)
+		}
+		return nil
+	}
+}
--- a/internal/endpoint/client/report.go
+++ b/internal/endpoint/client/report.go
@@ -2,7 +2,10 @@
 
 // This file defines Report, the load that an endpoint reports of itself.
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Report is what an endpoint says of its own load, which may be some time old.
 type Report struct {
@@ -27,3 +30,12 @@
 		Age:     time.Duration(w.Age) * time.Millisecond,
 	}
 }
+
+// Load asks an engine, pool or service for its load report.
+func (c *Client) Load(ctx context.Context, address string) (Report, error) {
+	var w wireLoad
+	if err := c.getJSON(ctx, "http://"+address+"/v1/load", &w); err != nil {
+		return Report{}, err
+	}
+	return w.report(), nil
+}
--- a/internal/endpoint/client/stage.go
+++ b/internal/endpoint/client/stage.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -48,7 +47,11 @@
 	Error   string `json:"error"`
 }
 
-const mostEvent = 1 << 20 // bytes
+const (
+	mostEvent     = 1 << 20         // bytes
+	mostRest      = 4 << 10         // bytes read after the last event, to keep the connection
+	lingerTimeout = 5 * time.Second // longest wait for the end of the body after the last event
+)
 
 // Do sends one stage call and returns the whole answer. Each token of an
 // engine's stream is passed to sink in order, without gaps and without
@@ -68,11 +71,30 @@
 		return call.Answer{}, failure.New(failure.Unsent, err, "encoding call")
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
-	resp, err := c.send(ctx, http.MethodPost, "http://"+address+"/v1/stages", header, body)
+	ctx, release, cancel := detach(ctx)
+	resp, err := c.send(ctx, request{
+		method: http.MethodPost, url: "http://" + address + "/v1/stages", header: header, body: body,
+		once: q.Once, check: before(q.Deadline, q.Check),
+	})
 	if err != nil {
+		cancel()
 		return call.Answer{}, err
 	}
-	defer resp.Body.Close()
+	answer, err := readAnswer(ctx, resp, q, sink)
+	if err != nil {
+		cancel()
+		resp.Body.Close()
+		return call.Answer{}, err
+	}
+	release()
+	c.recycle(resp.Body, cancel)
+	return answer, nil
+}
+
+func readAnswer(ctx context.Context, resp *http.Response, q call.Call, sink func(call.Token) error) (call.Answer, error) {
+	if got := resp.Header.Get(HeaderRequest); got != "" && got != q.Request {
+		return call.Answer{}, failure.New(failure.Foreign, nil, "got answer of %q, want %q", got, q.Request)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return call.Answer{}, refusal(resp)
 	}
@@ -83,24 +105,38 @@
 	return r.single(ctx, resp.Body)
 }
 
-// Cancel tells an endpoint that the answer of a call is of no more use.
-// The endpoint's reply does not matter, so none is returned.
-func (c *Client) Cancel(ctx context.Context, address string, q call.Call) {
-	url := "http://" + address + "/v1/stages/" + q.Request + "/" + q.Stage + "/" + strconv.Itoa(q.Attempt)
-	resp, err := c.send(ctx, http.MethodDelete, url, nil, nil)
-	if err != nil {
-		return
-	}
-	resp.Body.Close()
+// detach returns a context that ends with ctx until release is called, and with cancel.
+func detach(ctx context.Context) (_ context.Context, release, cancel func()) {
+	inner, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { end(context.Cause(ctx)) })
+	release = func() { stop() }
+	cancel = func() {
+		stop()
+		end(nil)
+	}
+	return inner, release, cancel
+}
+
+// recycle reads the body to its end in the background, so that the connection
+// can carry the next call. The answer is whole already.
+func (c *Client) recycle(body io.ReadCloser, cancel func()) {
+	c.running.Go(func() {
+		defer cancel()
+		timer := time.AfterFunc(lingerTimeout, cancel)
+		defer timer.Stop()
+		io.CopyN(io.Discard, body, mostRest)
+		body.Close()
+	})
 }
 
 // stageReader checks each event of one call's answer.
 type stageReader struct {
-	call  call.Call
-	sink  func(call.Token) error
-	next  int // index of the token that must come next
-	text  strings.Builder
-	event wireEvent
+	call    call.Call
+	sink    func(call.Token) error
+	next    int // index of the token that must come next
+	dropped int
+	text    strings.Builder
+	event   wireEvent
 }
 
 func (r *stageReader) single(ctx context.Context, body io.Reader) (call.Answer, error) {
@@ -111,10 +147,18 @@
 	if err := r.decode(data); err != nil {
 		return call.Answer{}, err
 	}
+	if !r.isOwn() {
+		return call.Answer{}, r.foreign()
+	}
+	if r.event.Error != "" {
+		return call.Answer{}, failure.New(failure.Errored, nil, "%s", r.event.Error)
+	}
 	r.text.WriteString(r.event.Text)
 	return r.finish()
 }
 
+// stream reads events until the last one. Events of other calls are dropped:
+// the tokens of this call still have to follow each other without a gap.
 func (r *stageReader) stream(ctx context.Context, body io.Reader) (call.Answer, error) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, mostEvent)
@@ -126,13 +170,22 @@
 		if err := r.decode(data); err != nil {
 			return call.Answer{}, err
 		}
-		if r.event.Done {
+		switch {
+		case !r.isOwn():
+			r.dropped++
+			continue
+		case r.event.Error != "":
+			return call.Answer{}, failure.New(failure.Errored, nil, "%s", r.event.Error)
+		case r.event.Done:
 			return r.finish()
 		}
 		if err := r.token(ctx); err != nil {
 			return call.Answer{}, err
 		}
 	}
+	if r.dropped > 0 && r.next == r.call.From {
+		return call.Answer{}, r.foreign()
+	}
 	return call.Answer{}, r.cut(ctx, lines.Err())
 }
 
@@ -141,22 +194,26 @@
 	if err := json.Unmarshal(data, &r.event); err != nil {
 		return failure.New(failure.Lost, err, "decoding the answer")
 	}
-	e := &r.event
-	if e.Request != r.call.Request || e.Stage != r.call.Stage || e.Attempt != r.call.Attempt {
-		return failure.New(failure.Foreign, nil, "got answer of %s/%s/%d, want %s/%s/%d",
-			e.Request, e.Stage, e.Attempt, r.call.Request, r.call.Stage, r.call.Attempt)
-	}
-	if e.Error != "" {
-		return failure.New(failure.Errored, nil, "%s", e.Error)
-	}
 	return nil
 }
 
+func (r *stageReader) isOwn() bool {
+	e := &r.event
+	return e.Request == r.call.Request && e.Stage == r.call.Stage && e.Attempt == r.call.Attempt
+}
+
+func (r *stageReader) foreign() error {
+	e := &r.event
+	return failure.New(failure.Foreign, nil, "got answer of %s/%s/%d, want %s/%s/%d",
+		e.Request, e.Stage, e.Attempt, r.call.Request, r.call.Stage, r.call.Attempt)
+}
+
 // token accepts the next token. A repeated one is dropped; a gap ends the call.
 func (r *stageReader) token(ctx context.Context) error {
 	e := &r.event
 	switch {
 	case e.Index < r.next:
+		r.dropped++
 		return nil
 	case e.Index > r.next:
 		return failure.New(failure.Lost, nil, "got token %d, want %d", e.Index, r.next)
@@ -178,12 +235,13 @@
 		return call.Answer{}, failure.New(failure.Lost, nil, "got %d bytes, want %d", got, e.Size)
 	}
 	return call.Answer{
-		Output: r.text.String(),
-		Tokens: e.Tokens,
-		Cached: e.Cached,
-		Prompt: e.Prompt,
-		Busy:   time.Duration(e.Busy) * time.Microsecond,
-		Reason: e.Reason,
+		Output:  r.text.String(),
+		Tokens:  e.Tokens,
+		Cached:  e.Cached,
+		Prompt:  e.Prompt,
+		Busy:    time.Duration(e.Busy) * time.Microsecond,
+		Reason:  e.Reason,
+		Dropped: r.dropped,
 	}, nil
 }
 
