Distribute the table by digests, gossip and a bounded number of reads

Cause: the thin feed fetched every part of a manifest from one source, told all listed peers each second, decoded the whole table at each change, fetched a refused table again and again, and could be stuck behind one bad answer.

Change: the manifest names groups and groups name parts, so that a changed row changes one part, one group and the manifest. Offers of the platform and of peers are kept by revision (package offer); the highest that may be fetched is next, what fails waits, what is refused is not fetched again. Parts come from a peer first; instances read the platform in the order of their rank by rendezvous hash, and stop once a peer has the table. Decoded parts and the account indexes are shared between versions. Two tables under one pair converge on the greater digest and show in status. Ready waits for platform and peers.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -73,7 +73,7 @@
 	d.members = membership.New(c.Name)
 	d.mesh.Observe(d.members)
 	d.roster.Watch(d.members.Update)
-	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
+	d.feed = feed.New(source, d.mesh, d.members, d.tables, c.Bounds.Start.Duration(), d.log)
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
@@ -191,13 +191,25 @@
 
 func (d *Daemon) status() operator.Status {
 	epoch, version := d.tables.Pair()
+	platform, peers := d.feed.Heard()
 	return operator.Status{
-		Name:    d.config.Name,
-		Centre:  d.config.Centre,
-		Ready:   d.tables.Current() != nil && !d.stopping.Load(),
-		Epoch:   epoch,
-		Version: version,
-		Refusal: d.feed.Refusal(),
-		Flights: d.flights.Load(),
+		Name:     d.config.Name,
+		Centre:   d.config.Centre,
+		Ready:    d.feed.Ready() && !d.stopping.Load(),
+		Epoch:    epoch,
+		Version:  version,
+		Refusal:  d.feed.Refusal(),
+		Conflict: d.feed.Conflict(),
+		Platform: ageOf(platform),
+		Peers:    ageOf(peers),
+		Flights:  d.flights.Load(),
 	}
 }
+
+// ageOf returns the seconds since t, or -1 for the zero time.
+func ageOf(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Seconds()
+}
--- a/internal/peer/kind/kind.go
+++ b/internal/peer/kind/kind.go
@@ -13,7 +13,7 @@
 	Pulse Kind = iota + 1
 	// Manifest asks for the manifest in force.
 	Manifest
-	// Part asks for a part of the table by its digest.
+	// Part asks for groups and parts of the table by their digests.
 	Part
 	// TicketRun asks the issuer of a ticket to run the call.
 	TicketRun
--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -61,6 +61,7 @@
 	self string
 
 	mu      sync.Mutex
+	known   bool // a list came
 	members map[string]*Member
 }
 
@@ -77,6 +78,7 @@
 func (m *Membership) Update(list *instance.List) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.known = true
 	for _, p := range m.members {
 		p.Listed = false
 	}
@@ -144,6 +146,13 @@
 	}
 }
 
+// Known reports whether a list of the platform came.
+func (m *Membership) Known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
 // Find returns the address of the peer of that name.
 func (m *Membership) Find(name string) (address string, ok bool) {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/peer/membership/membership_test.go
@@ -0,0 +1,92 @@
+package membership_test
+
+// This file tests how observations correct the platform's list.
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
+)
+
+func list(addresses map[string]string) *instance.List {
+	l := new(instance.List)
+	for name, address := range addresses {
+		l.Instances = append(l.Instances, instance.Instance{Name: name, Address: address, State: instance.Live, Entry: true})
+	}
+	return l
+}
+
+func TestSelfAndEndpointsAreNotMembers(t *testing.T) {
+	g := NewWithT(t)
+	m := membership.New("a")
+	l := list(map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1"})
+	l.Instances = append(l.Instances, instance.Instance{Name: "llm-01", Address: "10.0.0.3:1"})
+	m.Update(l)
+	g.Expect(m.Names()).To(Equal([]string{"b"}))
+}
+
+func TestPeerThatIsHeardOutlivesTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := membership.New("a")
+		m.Update(list(map[string]string{"b": "10.0.0.2:1"}))
+		m.Heard(identity.Identity{Name: "c", Incarnation: 7}, "10.0.0.3:1")
+		m.Update(list(map[string]string{"b": "10.0.0.2:1"}))
+		address, ok := m.Find("c")
+		g.Expect(ok).To(BeTrue())
+		g.Expect(address).To(Equal("10.0.0.3:1"))
+		time.Sleep(11 * time.Minute)
+		m.Update(list(map[string]string{"b": "10.0.0.2:1"}))
+		_, ok = m.Find("c")
+		g.Expect(ok).To(BeFalse(), "it is neither listed nor heard")
+	})
+}
+
+func TestUnreachablePeerIsTriedAgainLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := membership.New("a")
+		m.Update(list(map[string]string{"b": "10.0.0.2:1"}))
+		m.Missed("10.0.0.2:1")
+		for _, wait := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+			m.Missed("10.0.0.2:1")
+			time.Sleep(wait*time.Second - 1)
+			g.Expect(m.Names()).To(BeEmpty())
+			time.Sleep(1)
+			g.Expect(m.Names()).To(Equal([]string{"b"}))
+		}
+		m.Heard(identity.Identity{Name: "b", Incarnation: 1}, "10.0.0.2:1")
+		g.Expect(m.Names()).To(Equal([]string{"b"}))
+	})
+}
+
+func TestNewAddressOfTheListIsUsedOnceTheOldOneFails(t *testing.T) {
+	g := NewWithT(t)
+	m := membership.New("a")
+	m.Heard(identity.Identity{Name: "b", Incarnation: 1}, "10.0.0.2:1")
+	m.Update(list(map[string]string{"b": "10.0.0.9:1"}))
+	address, _ := m.Find("b")
+	g.Expect(address).To(Equal("10.0.0.2:1"), "what it said itself goes before a list that lags")
+	m.Missed("10.0.0.2:1")
+	m.Missed("10.0.0.2:1")
+	address, _ = m.Find("b")
+	g.Expect(address).To(Equal("10.0.0.9:1"))
+	g.Expect(m.Names()).To(Equal([]string{"b"}))
+}
+
+func TestIncarnationsAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	m := membership.New("a")
+	m.Heard(identity.Identity{Name: "b", Incarnation: 1}, "10.0.0.2:1")
+	m.Heard(identity.Identity{Name: "b", Incarnation: 2}, "10.0.0.3:1")
+	members := m.Members()
+	g.Expect(members).To(HaveLen(1))
+	g.Expect(members[0].Incarnation).To(Equal(uint64(2)))
+	g.Expect(members[0].Address).To(Equal("10.0.0.3:1"))
+}
--- a/internal/table/manifest/manifest.go
+++ b/internal/table/manifest/manifest.go
@@ -1,137 +1,125 @@
 // Package manifest provides the form in which a table is published: a short
-// manifest that names content-addressed parts, each a fragment of the rows.
-// An instance fetches only the parts whose digest it lacks.
+// manifest that names groups, groups that name parts, and parts that hold rows.
+// Groups and parts are named by the digest of their content, so that an
+// instance fetches only those that it lacks.
 package manifest
 
-// This file defines Manifest, how a table is packed into parts and joined again.
+// This file defines Manifest and how it is read.
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/jacinthstile/jacinthstile/internal/table/account"
-	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/fragment"
+	"github.com/jacinthstile/jacinthstile/internal/table/problem"
+	"github.com/jacinthstile/jacinthstile/internal/table/revision"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/table/store"
 )
 
 // Key is the platform key that holds the manifest.
 const Key = "table"
 
-// PartPrefix precedes a part's digest in its platform key.
+// PartPrefix precedes the digest of a group or part in its platform key.
 const PartPrefix = "table/part/"
 
-// Manifest names one version of the table and the parts that make it up.
+// mostNames bounds the groups of a manifest and the parts of a group.
+const mostNames = 4096
+
+// Manifest names one version of the table and the groups that make it up.
 type Manifest struct {
 	Epoch   uint64   `json:"epoch"`
 	Version uint64   `json:"version"`
-	Parts   []string `json:"parts"` // digests, in the order in which rows are joined
-}
+	Groups  []string `json:"groups"` // digests, in the order in which rows are joined
 
-// rowsPerPart bounds a part to some tens of KB.
-const rowsPerPart = 200
-
-// Digest returns the name of a part's content.
-func Digest(part []byte) string {
-	sum := sha256.Sum256(part)
-	return hex.EncodeToString(sum[:])
+	tie uint64
 }
 
-// Pack splits a table into a manifest and its parts by digest.
-// Rows fall into a bucket by the hash of their name, so that a changed row changes one part.
-func Pack(s *sheet.Sheet) (Manifest, map[string][]byte, error) {
-	m := Manifest{Epoch: s.Epoch, Version: s.Version}
-	parts := make(map[string][]byte)
-	for _, f := range fragments(s) {
-		data, err := json.Marshal(f)
-		if err != nil {
-			return Manifest{}, nil, fmt.Errorf("packing table: %w", err)
-		}
-		d := Digest(data)
-		parts[d] = data
-		m.Parts = append(m.Parts, d)
+// Parse reads a manifest. The error is a problem.List where values are at fault.
+func Parse(data []byte) (Manifest, error) {
+	var m Manifest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Manifest{}, fmt.Errorf("parsing manifest: %w", err)
 	}
-	return m, parts, nil
+	m.tie = tieOf(store.Digest(data))
+	var list problem.List
+	if m.Version == 0 {
+		list.Add("manifest", "version", 0, "1 or more")
+	}
+	checkNames(&list, "manifest", "groups", m.Groups)
+	return m, list.Err()
 }
 
-func fragments(s *sheet.Sheet) []sheet.Sheet {
-	out := []sheet.Sheet{{
-		Policy:    s.Policy,
-		Centres:   s.Centres,
-		Pipelines: s.Pipelines,
-		Models:    s.Models,
-		Services:  s.Services,
-	}}
-	for _, rows := range buckets(s.Endpoints, func(r endpoint.Endpoint) string { return r.Name }) {
-		out = append(out, sheet.Sheet{Endpoints: rows})
-	}
-	for _, rows := range buckets(s.Accounts, func(r account.Account) string { return r.Name }) {
-		out = append(out, sheet.Sheet{Accounts: rows})
+// tieOf returns the first 64 bits of a digest.
+func tieOf(digest string) uint64 {
+	n, err := strconv.ParseUint(digest[:16], 16, 64)
+	if err != nil {
+		panic(fmt.Sprintf("manifest: reading digest %q: %v", digest, err))
 	}
-	return out
+	return n
 }
 
-// buckets groups rows by the hash of their names. The count is a power of two,
-// so that a table that grows by a few rows keeps its grouping.
-func buckets[R any](rows []R, name func(R) string) [][]R {
-	n := 1
-	for n*rowsPerPart < len(rows) {
-		n *= 2
+func checkNames(list *problem.List, row, column string, names []string) {
+	if len(names) == 0 || len(names) > mostNames {
+		list.Add(row, column, fmt.Sprintf("%d digests", len(names)), fmt.Sprintf("1 to %d digests", mostNames))
+		return
 	}
-	out := make([][]R, n)
-	for _, r := range rows {
-		i := xxhash.Sum64String(name(r)) % uint64(n)
-		out[i] = append(out[i], r)
+	for i, n := range names {
+		if raw, err := hex.DecodeString(n); err != nil || len(raw) != 32 {
+			list.Add(row, fmt.Sprintf("%s[%d]", column, i), n, "64 hex digits")
+		}
 	}
-	return out
 }
 
-// Join builds and freezes the table from its parts. It refuses a part whose
-// content does not have the digest that names it.
-func (m Manifest) Join(parts map[string][]byte) (*sheet.Sheet, error) {
-	s := &sheet.Sheet{Epoch: m.Epoch, Version: m.Version}
-	for _, d := range m.Parts {
-		data, ok := parts[d]
+// Revision returns the place of the table among all.
+func (m Manifest) Revision() revision.Revision {
+	return revision.Revision{Epoch: m.Epoch, Version: m.Version, Tie: m.tie}
+}
+
+// group names parts.
+type group struct {
+	Parts []string `json:"parts"` // digests, in the order in which rows are joined
+}
+
+// Parts returns the digests of the parts, in the order in which rows are
+// joined. All groups must be held by objects.
+func (m Manifest) Parts(objects *store.Store) ([]string, error) {
+	var out []string
+	for _, digest := range m.Groups {
+		data, ok := objects.Get(digest)
 		if !ok {
-			return nil, fmt.Errorf("joining table: part %s is missing", d)
+			return nil, fmt.Errorf("reading table %s: group %s is not held", m.Revision(), digest)
 		}
-		if got := Digest(data); got != d {
-			return nil, fmt.Errorf("joining table: got digest %s, want %s", got, d)
+		var g group
+		if err := json.Unmarshal(data, &g); err != nil {
+			return nil, fmt.Errorf("parsing group %s: %w", digest, err)
 		}
-		if err := appendPart(s, data); err != nil {
-			return nil, fmt.Errorf("joining table: part %s: %w", d, err)
+		var list problem.List
+		checkNames(&list, "group "+digest, "parts", g.Parts)
+		if err := list.Err(); err != nil {
+			return nil, err
 		}
+		out = append(out, g.Parts...)
 	}
-	if err := s.Freeze(); err != nil {
-		return nil, err
-	}
-	return s, nil
+	return out, nil
 }
 
-func appendPart(s *sheet.Sheet, data []byte) error {
-	var f sheet.Sheet
-	if err := json.Unmarshal(data, &f); err != nil {
-		return err
-	}
-	if f.Policy != nil {
-		s.Policy = f.Policy
+// Join builds and freezes the table from the objects. What it has in common
+// with prev, which may be nil, is shared with it.
+func (m Manifest) Join(objects *store.Store, prev *sheet.Sheet) (*sheet.Sheet, error) {
+	digests, err := m.Parts(objects)
+	if err != nil {
+		return nil, err
 	}
-	s.Centres = append(s.Centres, f.Centres...)
-	s.Endpoints = append(s.Endpoints, f.Endpoints...)
-	s.Accounts = append(s.Accounts, f.Accounts...)
-	s.Pipelines = append(s.Pipelines, f.Pipelines...)
-	s.Models = append(s.Models, f.Models...)
-	s.Services = append(s.Services, f.Services...)
-	return nil
-}
-
-// After reports whether (epoch, version) of m is greater than the given pair.
-func (m Manifest) After(epoch, version uint64) bool {
-	if m.Epoch != epoch {
-		return m.Epoch > epoch
+	parts := make([]*fragment.Fragment, 0, len(digests))
+	for _, d := range digests {
+		f, err := objects.Fragment(d)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, f)
 	}
-	return m.Version > version
+	return sheet.Join(m.Revision(), parts, prev)
 }
--- /dev/null
+++ b/internal/table/manifest/manifest_test.go
@@ -0,0 +1,207 @@
+package manifest_test
+
+// This file tests what a change costs, and what decoding makes of any bytes.
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"runtime"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/rows"
+	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
+	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/table/store"
+)
+
+func publish(tb testing.TB, s *sheet.Sheet, objects *store.Store) (manifest.Manifest, map[string][]byte) {
+	tb.Helper()
+	m, parts, err := manifest.Pack(s)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for digest, data := range parts {
+		if err := objects.Put(digest, data); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	m, err = manifest.Parse(data)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return m, parts
+}
+
+func full(tb testing.TB) *sheet.Sheet {
+	tb.Helper()
+	s, err := rows.Table(rows.Full())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+// change returns the table with one endpoint weight or one account rate changed.
+func change(s *sheet.Sheet, n int) *sheet.Sheet {
+	c := *s
+	c.Version++
+	if n%2 == 0 {
+		c.Endpoints = append(c.Endpoints[:0:0], c.Endpoints...)
+		c.Endpoints[n%len(c.Endpoints)].Weight += 0.5
+	} else {
+		c.Accounts = append(c.Accounts[:0:0], c.Accounts...)
+		c.Accounts[n%len(c.Accounts)].Rate += 0.5
+	}
+	return &c
+}
+
+func TestChangedRowChangesOnePartAndOneGroup(t *testing.T) {
+	g := NewWithT(t)
+	s := full(t)
+	_, before := publish(t, s, store.New())
+	for n := range 4 {
+		m, after := publish(t, change(s, n), store.New())
+		fresh, bytes := 0, 0
+		for digest, data := range after {
+			if before[digest] == nil {
+				fresh++
+				bytes += len(data)
+			}
+			g.Expect(len(data)).To(BeNumerically("<=", reader.MostValue))
+		}
+		data, err := json.Marshal(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(fresh).To(Equal(2))
+		g.Expect(len(data)).To(BeNumerically("<", 4<<10), "the manifest")
+		g.Expect(bytes).To(BeNumerically("<", 30<<10), "the part and its group")
+	}
+}
+
+func TestJoinedTableIsTheOneThatWasPacked(t *testing.T) {
+	g := NewWithT(t)
+	s, err := rows.Table(rows.Options{Accounts: 2900, Endpoints: 400, Centres: 10, Models: 23})
+	g.Expect(err).NotTo(HaveOccurred())
+	objects := store.New()
+	m, _ := publish(t, s, objects)
+	first, err := m.Join(objects, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	for n := range 4 {
+		next := change(s, n)
+		m, _ := publish(t, next, objects)
+		joined, err := m.Join(objects, first)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, e := range next.Endpoints {
+			if got := joined.Endpoint(e.Name); !reflect.DeepEqual(*got, e) {
+				t.Fatalf("got %+v, want %+v", *got, e)
+			}
+		}
+		for _, a := range next.Accounts {
+			if got := joined.Account(a.Name); *got != a || joined.AccountOf(a.Digest) != got {
+				t.Fatalf("got %+v, want %+v", *got, a)
+			}
+		}
+		g.Expect(joined.After(first)).To(BeTrue())
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"epoch":1,"version":2,"groups":["` + store.Digest(nil) + `"]}`))
+	f.Add([]byte(`{"epoch":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := manifest.Parse(data)
+		if err == nil && (m.Version == 0 || len(m.Groups) == 0) {
+			t.Fatalf("got %+v without an error", m)
+		}
+	})
+}
+
+// BenchmarkJoin measures one change at the full size: "cold" decodes all
+// parts, "endpoint" and "account" only the changed one.
+func BenchmarkJoin(b *testing.B) {
+	s := full(b)
+	b.Run("cold", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			b.StopTimer()
+			objects := store.New()
+			m, _ := publish(b, s, objects)
+			b.StartTimer()
+			if _, err := m.Join(objects, nil); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	for n, name := range []string{"endpoint", "account"} {
+		b.Run(name, func(b *testing.B) {
+			objects := store.New()
+			m, _ := publish(b, s, objects)
+			now, err := m.Join(objects, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			at, table := n, s
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				at += 2
+				table = change(table, at)
+				m, _ := publish(b, table, objects)
+				b.StartTimer()
+				if now, err = m.Join(objects, now); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkHeld measures the memory that the table in force takes, with the
+// objects that are kept for peers.
+func BenchmarkHeld(b *testing.B) {
+	for _, accounts := range []int{1_000, 10_000, 29_000} {
+		b.Run(strconv.Itoa(accounts), func(b *testing.B) {
+			o := rows.Full()
+			o.Accounts = accounts
+			s, err := rows.Table(o)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, parts := publish(b, s, store.New())
+			for b.Loop() {
+				before := heap()
+				objects := store.New()
+				for digest, data := range parts {
+					if err := objects.Put(digest, bytes.Clone(data)); err != nil {
+						b.Fatal(err)
+					}
+				}
+				m, _, _ := manifest.Pack(s)
+				joined, err := m.Join(objects, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(heap()-before)/(1<<20), "MB-held")
+				b.ReportMetric(float64(objects.Bytes())/(1<<20), "MB-objects")
+				runtime.KeepAlive(joined)
+				runtime.KeepAlive(objects)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/internal/table/manifest/pack.go
@@ -0,0 +1,95 @@
+package manifest
+
+// This file splits a table into a manifest and its objects.
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
+	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/fragment"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/table/store"
+)
+
+const (
+	rowsPerPart   = 64
+	partsPerGroup = 32
+)
+
+// Pack splits a table into a manifest and its groups and parts by digest.
+// Rows fall into a part by the hash of their name, so that a changed row
+// changes one part, one group and the manifest.
+func Pack(s *sheet.Sheet) (Manifest, map[string][]byte, error) {
+	m := Manifest{Epoch: s.Epoch, Version: s.Version}
+	objects := make(map[string][]byte)
+	add := func(v any) (string, error) {
+		data, err := json.Marshal(v)
+		if err != nil {
+			return "", fmt.Errorf("packing table: %w", err)
+		}
+		if len(data) > reader.MostValue {
+			return "", fmt.Errorf("packing table: got a part of %d bytes, want at most %d", len(data), reader.MostValue)
+		}
+		d := store.Digest(data)
+		objects[d] = data
+		return d, nil
+	}
+	var open group
+	for i, f := range fragments(s) {
+		if i > 0 && i%partsPerGroup == 0 {
+			d, err := add(open)
+			if err != nil {
+				return Manifest{}, nil, err
+			}
+			m.Groups, open = append(m.Groups, d), group{}
+		}
+		d, err := add(f)
+		if err != nil {
+			return Manifest{}, nil, err
+		}
+		open.Parts = append(open.Parts, d)
+	}
+	d, err := add(open)
+	if err != nil {
+		return Manifest{}, nil, err
+	}
+	m.Groups = append(m.Groups, d)
+	return m, objects, nil
+}
+
+func fragments(s *sheet.Sheet) []fragment.Fragment {
+	out := []fragment.Fragment{{
+		Policy:    s.Policy,
+		Centres:   s.Centres,
+		Pipelines: s.Pipelines,
+		Models:    s.Models,
+		Services:  s.Services,
+	}}
+	for _, rows := range buckets(s.Endpoints, func(r endpoint.Endpoint) string { return r.Name }) {
+		out = append(out, fragment.Fragment{Endpoints: rows})
+	}
+	for _, rows := range buckets(s.Accounts, func(r account.Account) string { return r.Name }) {
+		out = append(out, fragment.Fragment{Accounts: rows})
+	}
+	return out
+}
+
+// buckets groups rows by the hash of their names. The count is a power of two,
+// so that a table that grows by a few rows keeps its grouping.
+func buckets[R any](rows []R, name func(R) string) [][]R {
+	n := 1
+	for n*rowsPerPart < len(rows) {
+		n *= 2
+	}
+	out := make([][]R, n)
+	for _, r := range rows {
+		i := xxhash.Sum64String(name(r)) % uint64(n)
+		out[i] = append(out[i], r)
+	}
+	return out
+}
--- a/internal/table/sheet/sheet.go
+++ b/internal/table/sheet/sheet.go
@@ -11,10 +11,12 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/account"
 	"github.com/jacinthstile/jacinthstile/internal/table/centre"
 	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/fragment"
 	"github.com/jacinthstile/jacinthstile/internal/table/model"
 	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
 	"github.com/jacinthstile/jacinthstile/internal/table/policy"
 	"github.com/jacinthstile/jacinthstile/internal/table/problem"
+	"github.com/jacinthstile/jacinthstile/internal/table/revision"
 	"github.com/jacinthstile/jacinthstile/internal/table/service"
 )
 
@@ -30,6 +32,9 @@
 	Models    []model.Model       `json:"models,omitempty"`
 	Services  []service.Service   `json:"services,omitempty"`
 
+	Tie uint64 `json:"-"` // see revision.Revision
+
+	parts     []*fragment.Fragment // of a table that was joined; nil otherwise
 	centres   map[string]*centre.Centre
 	endpoints map[string]*endpoint.Endpoint
 	roles     map[string][]*endpoint.Endpoint
@@ -56,21 +61,27 @@
 // It returns a problem.List that names each row and column at fault.
 func (s *Sheet) Freeze() error {
 	var list problem.List
+	s.checkTable(&list)
 	s.checkRows(&list)
+	s.indexAccounts(&list)
 	s.index(&list)
 	s.checkReferences(&list)
 	return list.Err()
 }
 
-func (s *Sheet) checkRows(list *problem.List) {
+func (s *Sheet) checkTable(list *problem.List) {
 	if s.Policy == nil {
 		list.Add("table", "policy", "nothing", "a policy")
-	} else {
-		s.Policy.Check(list)
 	}
 	if s.Version == 0 {
 		list.Add("table", "version", 0, "1 or more")
 	}
+}
+
+func (s *Sheet) checkRows(list *problem.List) {
+	if s.Policy != nil {
+		s.Policy.Check(list)
+	}
 	for _, r := range s.Centres {
 		r.Check(list)
 	}
@@ -91,11 +102,14 @@
 	}
 }
 
+func (s *Sheet) indexAccounts(list *problem.List) {
+	s.accounts = byName(list, "account", s.Accounts, func(r *account.Account) string { return r.Name })
+	s.digests = byName(list, "account with digest", s.Accounts, func(r *account.Account) string { return r.Digest })
+}
+
 func (s *Sheet) index(list *problem.List) {
 	s.centres = byName(list, "centre", s.Centres, func(r *centre.Centre) string { return r.Name })
 	s.endpoints = byName(list, "endpoint", s.Endpoints, func(r *endpoint.Endpoint) string { return r.Name })
-	s.accounts = byName(list, "account", s.Accounts, func(r *account.Account) string { return r.Name })
-	s.digests = byName(list, "account with digest", s.Accounts, func(r *account.Account) string { return r.Digest })
 	s.pipelines = byName(list, "pipeline", s.Pipelines, func(r *pipeline.Pipeline) string { return r.Name })
 	s.models = byName(list, "model", s.Models, func(r *model.Model) string { return r.Name })
 	s.services = byName(list, "service", s.Services, func(r *service.Service) string { return r.Name })
@@ -184,13 +198,12 @@
 	return e.Weight * c.Weight
 }
 
-// After reports whether (epoch, version) of s is greater than that of o. A nil o is the least.
+// Revision returns the place of s among all published tables.
+func (s *Sheet) Revision() revision.Revision {
+	return revision.Revision{Epoch: s.Epoch, Version: s.Version, Tie: s.Tie}
+}
+
+// After reports whether s stands after o. A nil o is the least.
 func (s *Sheet) After(o *Sheet) bool {
-	if o == nil {
-		return true
-	}
-	if s.Epoch != o.Epoch {
-		return s.Epoch > o.Epoch
-	}
-	return s.Version > o.Version
+	return o == nil || s.Revision().After(o.Revision())
 }
