Race a stage's attempts: hedge, resume, queue and refuse early, within budgets

Cause: a stage made up to three attempts in a row without a budget, failed at once where all endpoints were full, and could neither hedge nor see a stalled stream. Change: package dispatcher gives leases on endpoints, queues fairly when all are full and re-checks the table before each send; the runner refuses early what can't finish, lets one probe a second through so that it can learn again, runs attempts beside each other, feeds the caller from one of them only, and cancels the others at the engine. Package rig wires these parts for tests.

--- /dev/null
+++ b/internal/bench/rig/rig.go
@@ -0,0 +1,142 @@
+// Package rig wires the parts that carry out requests over a table that is
+// held in memory, without platform, peers or listeners. Tests and benchmarks
+// use it.
+package rig
+
+// This file defines Rig and its base table.
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
+	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
+	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/centre"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+	"github.com/jacinthstile/jacinthstile/internal/table/model"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+	"github.com/jacinthstile/jacinthstile/internal/table/service"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+)
+
+// Names of the base table.
+const (
+	Key     = "key-workshop" // bearer key of the account "workshop"
+	Account = "workshop"
+	Centre  = "east"
+	Model   = "small-7b"
+	Service = "orders"
+
+	waiting = 100      // calls that may wait for one role and model
+	body    = 64 << 10 // bytes of a request body
+	tickets = 1000
+)
+
+// Rig is one instance without its listeners.
+type Rig struct {
+	Tables     *holder.Holder
+	Board      *board.Board
+	Dispatcher *dispatcher.Dispatcher
+	Runner     *runner.Runner
+	Relay      *relay.Relay
+	Caller     http.Handler
+	Scope      tally.TestScope
+}
+
+// New wires an instance over a frozen table. The returned function closes its
+// connections.
+func New(table *sheet.Sheet, log logr.Logger) (*Rig, func()) {
+	r := &Rig{Tables: holder.New(), Board: board.New(), Scope: tally.NewTestScope("", nil)}
+	r.Tables.Raise(table)
+	c, closeClient := client.New()
+	pick := picker.New(Centre, rule.Predicted{}, r.Board, 1)
+	budget := retry.New()
+	r.Dispatcher = dispatcher.New(r.Tables, pick, r.Board, waiting, log, r.Scope)
+	r.Runner = runner.New(r.Tables, r.Dispatcher, c, budget, log, r.Scope)
+	r.Relay = relay.New(r.Tables, r.Dispatcher, c, budget, log, r.Scope)
+	r.Caller = caller.New(r.Tables, r.Runner, r.Relay, keeper.New(0),
+		desk.New(identity.Identity{Name: "rig", Incarnation: 1}, tickets), body, log)
+	return r, closeClient
+}
+
+// Table returns the base table with the given endpoints, not frozen yet. It has
+// the pipelines "chat" (one stage of Model), "four" (encode, retrieve, rerank,
+// generate) and "once" (one stage that is not idempotent), and the service
+// Service with the operations POST /book (not idempotent), and GET /status,
+// PUT /plan, PATCH /plan and DELETE /plan (idempotent).
+func Table(endpoints ...endpoint.Endpoint) *sheet.Sheet {
+	for i := range endpoints {
+		e := &endpoints[i]
+		e.Centre = Centre
+		if e.Weight == 0 {
+			e.Weight = 1
+		}
+	}
+	second := span.Span(time.Second)
+	generate := pipeline.Stage{Name: "generate", Role: "generate", Model: Model, Tokens: 8, Time: second / 10}
+	small := func(name string) pipeline.Stage {
+		return pipeline.Stage{Name: name, Role: name, Time: second / 100}
+	}
+	once := small("once")
+	once.Once = true
+	return &sheet.Sheet{
+		Epoch: 1, Version: 1,
+		Policy: &policy.Policy{
+			Attainment: 0.8, Cost: 0.2, Retry: 0.1, Hedge: 0.05, Eject: 0.3,
+			Ticket: 60 * second, Seats: 1, Away: 0.3,
+		},
+		Centres:   []centre.Centre{{Name: Centre, Weight: 1}},
+		Endpoints: endpoints,
+		Accounts:  []account.Account{{Name: Account, Digest: account.DigestOf(Key), Weight: 1}},
+		Models:    []model.Model{{Name: Model, Version: "1", Pipeline: "chat", Size: 1}},
+		Pipelines: []pipeline.Pipeline{
+			{Name: "chat", Deadline: 8 * second, Stages: []pipeline.Stage{generate}},
+			{Name: "four", Deadline: 8 * second, Stages: []pipeline.Stage{
+				small("encode"), small("retrieve"), small("rerank"), generate,
+			}},
+			{Name: "once", Deadline: 8 * second, Stages: []pipeline.Stage{once}},
+		},
+		Services: []service.Service{{Name: Service, Deadline: 2 * second, Operations: []service.Operation{
+			{Method: http.MethodPost, Path: "/book", Ticket: service.Optional},
+			{Method: http.MethodPost, Path: "/reserve"},
+			{Method: http.MethodGet, Path: "/status", Idempotent: true},
+			{Method: http.MethodPut, Path: "/plan", Idempotent: true},
+			{Method: http.MethodPatch, Path: "/plan", Idempotent: true},
+			{Method: http.MethodDelete, Path: "/plan", Idempotent: true},
+		}}},
+	}
+}
+
+// Engine returns the row of a model engine that holds Model.
+func Engine(name, address string) endpoint.Endpoint {
+	return endpoint.Endpoint{
+		Name: name, Address: address, Kind: endpoint.Engine, Role: "generate", Models: []string{Model},
+	}
+}
+
+// Pool returns the row of a pool worker.
+func Pool(name, address, role string) endpoint.Endpoint {
+	return endpoint.Endpoint{Name: name, Address: address, Kind: endpoint.Pool, Role: role}
+}
+
+// Worker returns the row of a worker of Service.
+func Worker(name, address string) endpoint.Endpoint {
+	return endpoint.Endpoint{Name: name, Address: address, Kind: endpoint.Service, Role: Service}
+}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -13,10 +13,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
@@ -72,11 +75,13 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
+	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
+	budget := retry.New()
 	d.callers = &http.Server{
 		Handler: d.counted(caller.New(
 			d.tables,
-			runner.New(d.tables, pick, stats, endpoints, d.log),
-			relay.New(d.tables, pick, stats, endpoints, d.log),
+			runner.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope),
+			relay.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope),
 			keeper.New(self.Seat),
 			desk.New(self, c.Bounds.Tickets),
 			c.Bounds.Body,
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -1,16 +1,21 @@
 // Package relay takes calls to plain services.
 package relay
 
-// This file defines Relay.
+// This file defines Relay and Order.
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
@@ -31,77 +36,110 @@
 
 // Relay sends orders to the endpoints of their service.
 type Relay struct {
-	tables *holder.Holder
-	picker *picker.Picker
-	board  *board.Board
-	client *client.Client
-	log    logr.Logger
+	tables     *holder.Holder
+	dispatcher *dispatcher.Dispatcher
+	client     *client.Client
+	budget     *retry.Budget
+	log        logr.Logger
+	scope      tally.Scope
 }
 
-// New returns a relay.
-func New(t *holder.Holder, p *picker.Picker, b *board.Board, c *client.Client, log logr.Logger) *Relay {
-	return &Relay{tables: t, picker: p, board: b, client: c, log: log}
+// New returns a relay that draws retries from budget.
+func New(t *holder.Holder, d *dispatcher.Dispatcher, c *client.Client, budget *retry.Budget, log logr.Logger, scope tally.Scope) *Relay {
+	return &Relay{tables: t, dispatcher: d, client: c, budget: budget, log: log, scope: scope}
+}
+
+// tries is what the attempts at an order have come to.
+type tries struct {
+	tried []string
+	ran   bool          // an attempt may have run
+	reply *client.Reply // the last whole answer, an error of the service's own
+	last  error         // of the last attempt that got an endpoint, or of the first that got none
 }
 
 // Run sends an order. A non-idempotent one is sent again only where no byte of
-// it left, or where a trusted endpoint says that it did not run. The error is
-// a *fault.Fault.
+// it left, or where a trusted endpoint says that it did not run. An answer of
+// the service's own is returned whole, whatever its status. The error is a
+// *fault.Fault.
 func (r *Relay) Run(ctx context.Context, o Order) (client.Reply, error) {
 	ctx, cancel := context.WithDeadline(ctx, o.Call.Deadline)
 	defer cancel()
-	var tried []string
-	var last error
-	ran := false
+	p := r.tables.Current().Policy
+	r.budget.First(retry.Share{Retry: p.Retry, Hedge: p.Hedge})
+	var t tries
 	for attempt := 1; attempt <= mostAttempts; attempt++ {
-		table := r.tables.Current()
-		choice := r.picker.Pick(table, picker.Query{Role: o.Service, Tried: tried, Now: time.Now()})
-		if choice.Endpoint == nil {
-			if last == nil {
-				last = failure.New(failure.Unsent, nil, "%s", choice.Reason.String())
-			}
-			break
+		reply, safe, err := r.attempt(ctx, o, attempt, &t)
+		if err == nil && (reply.Status < http.StatusInternalServerError || !o.Idempotent) {
+			return reply, nil
 		}
-		r.log.Info("routing", "request", o.Call.Request, "account", o.Account, "stage", o.Service,
-			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
-			"epoch", table.Epoch, "version", table.Version)
-		reply, err := r.attempt(ctx, choice.Endpoint, o)
 		if err == nil {
-			return reply, nil
+			t.reply = &reply
 		}
-		last = err
-		safe := isSafe(choice.Endpoint, err)
-		ran = ran || !safe
-		if ctx.Err() != nil || !safe && !o.Idempotent {
+		t.fail(safe, err)
+		if !r.mayRetry(ctx, o, safe, err) {
 			break
 		}
-		tried = append(tried, choice.Endpoint.Name)
 	}
-	return client.Reply{}, faultOf(ctx, ran, last)
+	if t.reply != nil {
+		return *t.reply, nil
+	}
+	return client.Reply{}, faultOf(ctx, t.ran, t.last)
 }
 
-func (r *Relay) attempt(ctx context.Context, e *endpoint.Endpoint, o Order) (client.Reply, error) {
+func (t *tries) fail(safe bool, err error) {
+	t.ran = t.ran || !safe
+	var refusal *dispatcher.Refusal
+	if t.last == nil || !errors.As(err, &refusal) {
+		t.last = err
+	}
+}
+
+// mayRetry reports whether one more attempt may follow. What has not run costs no budget.
+func (r *Relay) mayRetry(ctx context.Context, o Order, safe bool, err error) bool {
+	var refusal *dispatcher.Refusal
+	switch {
+	case ctx.Err() != nil || errors.As(err, &refusal):
+		return false
+	case safe:
+		return true
+	default:
+		return o.Idempotent && r.budget.Retry()
+	}
+}
+
+// attempt sends an order once. It reports whether the order is known not to have run.
+func (r *Relay) attempt(ctx context.Context, o Order, attempt int, t *tries) (reply client.Reply, safe bool, err error) {
+	lease, err := r.dispatcher.Acquire(ctx, dispatcher.Ask{
+		Request: o.Call.Request, Account: o.Account, Stage: o.Service, Attempt: attempt,
+		Query:  picker.Query{Role: o.Service, Tried: t.tried},
+		Latest: o.Call.Deadline,
+	})
+	if err != nil {
+		return reply, true, err
+	}
 	call := o.Call
-	if !e.Keyed {
+	call.Once = !o.Idempotent
+	call.Check = lease.Check
+	if !lease.Endpoint.Keyed {
 		call.Key = ""
 	}
 	start := time.Now()
-	r.board.Start(e.Name, start)
-	reply, err := r.client.Plain(ctx, e.Address, call)
-	now := time.Now()
-	r.board.Done(e.Name, board.Result{Took: now.Sub(start), Kind: kindOf(err)}, now)
-	if err != nil {
-		r.log.Info("attempt failed", "request", call.Request, "stage", o.Service,
-			"endpoint", e.Name, "kind", failure.KindOf(err).String(), "error", err.Error())
+	reply, err = r.client.Plain(ctx, lease.Endpoint.Address, call)
+	res := board.Result{Took: time.Since(start)}
+	switch {
+	case err != nil:
+		res.Kind = failure.KindOf(err)
+	case reply.Status >= http.StatusInternalServerError:
+		res.Kind = failure.Errored
 	}
-	return reply, err
-}
-
-// kindOf returns zero for success.
-func kindOf(err error) failure.Kind {
-	if err == nil {
-		return 0
+	lease.Done(res)
+	t.tried = append(t.tried, lease.Endpoint.Name)
+	if err != nil {
+		r.log.Info("attempt failed", "request", call.Request, "stage", o.Service, "attempt", attempt,
+			"endpoint", lease.Endpoint.Name, "kind", res.Kind.String(), "error", err.Error())
+		r.scope.Tagged(map[string]string{"stage": o.Service}).Counter("failed_" + res.Kind.String()).Inc(1)
 	}
-	return failure.KindOf(err)
+	return reply, err != nil && isSafe(lease.Endpoint, err), err
 }
 
 // isSafe reports whether a failed attempt is known not to have run.
@@ -117,15 +155,21 @@
 }
 
 func faultOf(ctx context.Context, ran bool, last error) error {
+	var refusal *dispatcher.Refusal
+	isRefusal := errors.As(last, &refusal)
 	switch {
 	case !ran && ctx.Err() != nil:
 		return fault.Wrap(code.NoTime, last, "before the call was sent")
+	case !ran && isRefusal && refusal.Busy:
+		f := fault.Wrap(code.Overloaded, last, "the call was not sent")
+		f.After = refusal.After
+		return f
+	case !ran && failure.KindOf(last) == failure.Refused:
+		return fault.Wrap(code.EndpointRefused, last, "the call did not run")
 	case !ran:
 		return fault.Wrap(code.NoEndpoint, last, "the call was not sent")
 	case ctx.Err() != nil:
 		return fault.Wrap(code.DeadlineOver, last, "after the call was sent")
-	case failure.KindOf(last) == failure.Errored:
-		return fault.Wrap(code.StageFailed, last, "the service answered with an error")
 	default:
 		return fault.Wrap(code.AnswerLost, last, "after the call was sent")
 	}
--- a/internal/flow/runner/runner.go
+++ b/internal/flow/runner/runner.go
@@ -1,7 +1,9 @@
-// Package runner takes a job through the stages of its pipeline.
+// Package runner takes a job through the stages of its pipeline: under one
+// deadline, with retries and hedges within their budget, and with streams that
+// resume on another engine at the token reached.
 package runner
 
-// This file defines Runner and its stage loop.
+// This file defines Runner and the way of a job through its stages.
 
 import (
 	"context"
@@ -9,38 +11,44 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
+	"github.com/jacinthstile/jacinthstile/internal/admission/schedule"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/call"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
-	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/flow/job"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
-	"github.com/jacinthstile/jacinthstile/internal/routing/board"
-	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
-	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
-	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+	"github.com/jacinthstile/jacinthstile/internal/table/model"
 	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
 )
 
-const mostAttempts = 3
-
-// Sink receives the tokens of the last stage. It may be nil.
+// Sink receives the tokens of the last stage, each once and in order, from one
+// goroutine at a time and never after Run has returned. It may be nil.
 type Sink func(call.Token) error
 
 // Runner runs jobs.
 type Runner struct {
-	tables *holder.Holder
-	picker *picker.Picker
-	board  *board.Board
-	client *client.Client
-	log    logr.Logger
+	tables     *holder.Holder
+	dispatcher *dispatcher.Dispatcher
+	client     *client.Client
+	budget     *retry.Budget
+	times      *schedule.Schedule // of whole stages
+	firsts     *schedule.Schedule // until the first answer of a stage
+	probes     probes
+	log        logr.Logger
+	scope      tally.Scope
 }
 
-// New returns a runner.
-func New(t *holder.Holder, p *picker.Picker, b *board.Board, c *client.Client, log logr.Logger) *Runner {
-	return &Runner{tables: t, picker: p, board: b, client: c, log: log}
+// New returns a runner that draws retries and hedges from budget.
+func New(t *holder.Holder, d *dispatcher.Dispatcher, c *client.Client, budget *retry.Budget, log logr.Logger, scope tally.Scope) *Runner {
+	return &Runner{
+		tables: t, dispatcher: d, client: c, budget: budget,
+		times: schedule.New(), firsts: schedule.New(), log: log, scope: scope,
+	}
 }
 
 // Run takes a job through its stages. The error is a *fault.Fault whose class
@@ -48,32 +56,62 @@
 func (r *Runner) Run(ctx context.Context, j job.Job, sink Sink) (job.Outcome, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
+	if err := r.admit(&j); err != nil {
+		return job.Outcome{}, err
+	}
 	var out job.Outcome
 	prompt := j.Input
 	for i := range j.Pipeline.Stages {
-		st := &run{Runner: r, job: &j, stage: j.Pipeline.Stages[i], prompt: prompt, first: i == 0}
+		s := r.stage(&j, i, prompt)
 		if i == len(j.Pipeline.Stages)-1 {
-			st.sink = sink
+			s.stream.sink = sink
 		}
-		answer, err := st.run(ctx)
+		answer, err := s.run(ctx)
 		if err != nil {
 			return out, err
 		}
-		out.Stages = append(out.Stages, st.record)
+		out.Stages = append(out.Stages, s.record)
 		out.Output = answer.Output
 		out.Prompt = answer.Prompt
 		out.Tokens = answer.Tokens
 		out.Reason = answer.Reason
-		prompt = Extend(prompt, st.stage.Name, answer.Output)
+		prompt = Extend(prompt, s.stage.Name, answer.Output)
 	}
 	return out, nil
 }
 
+// admit refuses a job whose stages can't finish in time, before anything runs.
+func (r *Runner) admit(j *job.Job) error {
+	var wait time.Duration
+	for i := range j.Pipeline.Stages {
+		st := &j.Pipeline.Stages[i]
+		wait += r.dispatcher.Wait(st.Role, modelOf(j, st), j.Account)
+	}
+	left := time.Until(j.Deadline)
+	verdict := r.times.Fits(j.Pipeline, 0, left, wait)
+	if verdict.Fits || left > 0 && r.probes.take(j.Pipeline.Name, time.Now()) {
+		return nil
+	}
+	r.count("early", j.Pipeline.Name)
+	c := code.NoTime
+	if wait > 0 {
+		c = code.Overloaded
+	}
+	f := fault.New(c, "got %v until the deadline, want %v", left.Round(time.Millisecond), verdict.Need.Round(time.Millisecond))
+	f.After = verdict.After
+	return f
+}
+
+func (r *Runner) count(name, stage string) {
+	r.scope.Tagged(map[string]string{"stage": stage}).Counter(name).Inc(1)
+}
+
 // Extend returns the prompt of the next stage: what came before, and the
 // result of a stage under its name. The start stays the same, so that engines
 // can reuse what they cached of it.
 func Extend(prompt, stage, output string) string {
 	var b strings.Builder
+	b.Grow(len(prompt) + len(stage) + len(output) + len("\n[] "))
 	b.WriteString(prompt)
 	b.WriteString("\n[")
 	b.WriteString(stage)
@@ -82,129 +120,24 @@
 	return b.String()
 }
 
-// run is one stage of one job.
-type run struct {
-	*Runner
-	job    *job.Job
-	stage  pipeline.Stage
-	prompt string
-	first  bool // no earlier stage of the job has run
-	sink   Sink
-
-	tried  []string
-	next   int // token at which a stream resumes
-	text   strings.Builder
-	ran    bool // an attempt reached an endpoint
-	record job.Stage
-}
-
-func (s *run) run(ctx context.Context) (call.Answer, error) {
-	start := time.Now()
-	s.record.Name = s.stage.Name
-	var last error
-	for attempt := 1; attempt <= mostAttempts; attempt++ {
-		table := s.tables.Current()
-		choice := s.picker.Pick(table, picker.Query{
-			Role: s.stage.Role, Model: s.model(), Blocks: prefix.Blocks(nil, s.prompt), Tried: s.tried, Now: time.Now(),
-		})
-		if choice.Endpoint == nil {
-			if last == nil {
-				last = failure.New(failure.Unsent, nil, "%s", choice.Reason.String())
-			}
-			break
-		}
-		s.log.Info("routing", "request", s.job.ID, "account", s.job.Account, "stage", s.stage.Name,
-			"attempt", attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
-			"epoch", table.Epoch, "version", table.Version)
-		s.record.Attempts = attempt
-		answer, err := s.attempt(ctx, choice.Endpoint, attempt)
-		if err == nil {
-			s.record.Endpoint = choice.Endpoint.Name
-			s.record.Took = time.Since(start)
-			s.record.Busy = answer.Busy
-			return answer, nil
-		}
-		last = err
-		if ctx.Err() != nil || s.stage.Once && failure.KindOf(err) != failure.Unsent {
-			break
-		}
-		s.tried = append(s.tried, choice.Endpoint.Name)
-	}
-	return call.Answer{}, s.fault(ctx, last)
-}
-
-func (s *run) model() string {
-	if s.stage.Model != "" && s.job.Model != "" {
-		return s.job.Model
-	}
-	return s.stage.Model
-}
-
-func (s *run) tokens() int {
-	if s.stage.Tokens > 0 && s.job.Tokens > 0 {
-		return s.job.Tokens
+// modelOf returns the model of a stage: the job's own for stages that a model engine runs.
+func modelOf(j *job.Job, s *pipeline.Stage) string {
+	if s.Model != "" && j.Model != "" {
+		return j.Model
 	}
-	return s.stage.Tokens
+	return s.Model
 }
 
-func (s *run) attempt(ctx context.Context, e *endpoint.Endpoint, attempt int) (call.Answer, error) {
-	start := time.Now()
-	s.board.Start(e.Name, start)
-	answer, err := s.client.Do(ctx, e.Address, call.Call{
-		Request:  s.job.ID,
-		Stage:    s.stage.Name,
-		Attempt:  attempt,
-		Deadline: s.job.Deadline,
-		Model:    s.model(),
-		Prompt:   s.prompt,
-		From:     s.next,
-		Tokens:   s.tokens(),
-	}, s.token)
-	now := time.Now()
-	s.board.Done(e.Name, board.Result{Took: now.Sub(start), Kind: kindOf(err), Tokens: answer.Tokens}, now)
-	if err != nil {
-		k := failure.KindOf(err)
-		s.ran = s.ran || k != failure.Unsent && (k != failure.Refused || !e.Trusted)
-		s.log.Info("attempt failed", "request", s.job.ID, "stage", s.stage.Name,
-			"attempt", attempt, "endpoint", e.Name, "kind", k.String(), "error", err.Error())
-		return call.Answer{}, err
-	}
-	if s.text.Len() > 0 {
-		answer.Output = s.text.String()
-		answer.Tokens = s.next
-	}
-	return answer, nil
-}
-
-// kindOf returns zero for success.
-func kindOf(err error) failure.Kind {
-	if err == nil {
-		return 0
-	}
-	return failure.KindOf(err)
-}
-
-// token keeps what a stream has given, so that a later attempt resumes after it.
-func (s *run) token(t call.Token) error {
-	s.next = t.Index + 1
-	s.text.WriteString(t.Text)
-	if s.sink == nil {
-		return nil
+func tokensOf(j *job.Job, s *pipeline.Stage) int {
+	if s.Tokens > 0 && j.Tokens > 0 {
+		return j.Tokens
 	}
-	return s.sink(t)
+	return s.Tokens
 }
 
-// fault turns the last failure into a numbered code of the right class.
-func (s *run) fault(ctx context.Context, last error) error {
-	started := s.ran || !s.first
-	switch {
-	case ctx.Err() != nil && started:
-		return fault.Wrap(code.OutOfTime, last, "in stage %s", s.stage.Name)
-	case ctx.Err() != nil:
-		return fault.Wrap(code.NoTime, last, "in stage %s", s.stage.Name)
-	case started:
-		return fault.Wrap(code.StageFailed, last, "stage %s", s.stage.Name)
-	default:
-		return fault.Wrap(code.NoEndpoint, last, "stage %s", s.stage.Name)
+func adapterOf(m *model.Model) string {
+	if m == nil {
+		return ""
 	}
+	return m.Adapter
 }
