Run ticketed calls at most once from any instance

Cause: a ticket could be used only at the instance that issued it; elsewhere it was refused as forged, and an unreachable issuer was class "not run", which is untrue when an earlier use of the same ticket had run.

Change: internal/ticket/store holds tickets and outcomes in bounded memory; desk forwards over kind.TicketRun and asks again after a lost answer, which is safe. TicketUnreachable moves from 1206 (not run) to 2004 (unknown); new are 2005 ticket_forgotten and 3006 reply_dropped. Limits are counted by the issuer within the claim, so a repeat is never refused for a cap after its call has run. The stop waits for running and, for a bounded time, unused tickets.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -100,6 +100,9 @@
 func newID() string { return uuid.NewString() }
 
 func (s *Server) identify(r *http.Request, v *visit) error {
+	if v.table == nil && r.Header.Get(HeaderTicket) != "" {
+		return fault.New(code.TicketUnreachable, "no table is in force here")
+	}
 	if v.table == nil {
 		return fault.New(code.NotReady, "no table is in force")
 	}
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
@@ -52,12 +50,7 @@
 	if !op.Idempotent && ticket == "" && op.Ticket != service.Optional {
 		return fault.New(code.TicketRequired, "%s %s", r.Method, path)
 	}
-	give, err := s.limits.Take(r.Context(), v.account, v.table.Policy.Seats)
-	if err != nil {
-		return err
-	}
-	defer give()
-	reply, err := s.runOrder(r.Context(), o, ticket)
+	reply, err := s.runOrder(r.Context(), o, v, ticket)
 	if err != nil {
 		return err
 	}
@@ -91,24 +84,16 @@
 	}, nil
 }
 
-// runOrder runs an order under its ticket, where it has one. A call that has
-// been claimed goes on when the caller leaves, so that its outcome is kept.
-func (s *Server) runOrder(ctx context.Context, o relay.Order, ticket string) (client.Reply, error) {
-	if o.Idempotent || ticket == "" {
-		return s.relay.Run(ctx, o)
+// runOrder runs an order. Under a ticket, its issuer runs it and counts it
+// against the account's limits, so that a repeat needs no permit of its own.
+func (s *Server) runOrder(ctx context.Context, o relay.Order, v visit, ticket string) (client.Reply, error) {
+	if !o.Idempotent && ticket != "" {
+		return s.desk.Run(ctx, ticket, o)
 	}
-	o.Call.Key = ticket
-	return s.desk.Run(ctx, ticket, o.Account, digestOf(o), func() (client.Reply, error) {
-		return s.relay.Run(context.WithoutCancel(ctx), o)
-	})
-}
-
-// digestOf returns a digest of what a call asks for.
-func digestOf(o relay.Order) string {
-	h := sha256.New()
-	for _, part := range []string{o.Service, o.Call.Method, o.Call.Path, string(o.Call.Body)} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
+	give, err := s.limits.Take(ctx, v.account, v.table.Policy.Seats)
+	if err != nil {
+		return client.Reply{}, err
 	}
-	return hex.EncodeToString(h.Sum(nil))
+	defer give()
+	return s.relay.Run(ctx, o)
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -45,6 +45,9 @@
 	feed     *feed.Feed
 	roster   *roster.Roster
 	mesh     *mesh.Mesh
+	limits   *keeper.Keeper
+	relay    *relay.Relay
+	desk     *desk.Desk
 	callers  *http.Server
 	operator *http.Server
 	flights  atomic.Int64
@@ -71,13 +74,16 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, stats)
+	d.limits = keeper.New(self.Seat)
+	d.relay = relay.New(d.tables, pick, stats, endpoints, d.log)
+	d.desk = d.newDesk(self)
 	d.callers = &http.Server{
 		Handler: d.counted(caller.New(
 			d.tables,
 			runner.New(d.tables, pick, stats, endpoints, d.log),
-			relay.New(d.tables, pick, stats, endpoints, d.log),
-			keeper.New(self.Seat),
-			desk.New(self, c.Bounds.Tickets),
+			d.relay,
+			d.limits,
+			d.desk,
 			c.Bounds.Body,
 			d.log,
 		)),
@@ -159,19 +165,6 @@
 	}
 }
 
-// Stop ends the daemon gracefully: it turns unready, accepts requests until the
-// balancer has noticed, and returns when all in flight are answered.
-func (d *Daemon) Stop(ctx context.Context) error {
-	d.stopping.Store(true)
-	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
-	select {
-	case <-time.After(d.config.Bounds.Drain.Duration()):
-	case <-ctx.Done():
-	}
-	d.log.Info("stopping: waiting for requests in flight", "flights", d.flights.Load())
-	return d.callers.Shutdown(ctx)
-}
-
 // CutPeers closes all peer sessions, as a failing network would.
 func (d *Daemon) CutPeers() { d.mesh.Cut() }
 
@@ -179,6 +172,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.flights.Add(1)
 		defer d.flights.Add(-1)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
--- /dev/null
+++ b/internal/entry/daemon/order.go
@@ -0,0 +1,56 @@
+package daemon
+
+// This file wires the tickets: how a call under a ticket runs, and where its issuer is.
+
+import (
+	"context"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/store"
+)
+
+const mostHeldReply = 64 << 10 // bytes
+
+func (d *Daemon) newDesk(self identity.Identity) *desk.Desk {
+	s := store.New(store.Options{
+		Tickets: d.config.Bounds.Tickets,
+		Bytes:   d.config.Bounds.Outcomes,
+		Reply:   mostHeldReply,
+	})
+	k := desk.New(self, s, d.runOrder, d.mesh, d.addressOf, d.log)
+	d.mesh.Handle(kind.TicketRun, k.Answer)
+	return k
+}
+
+// runOrder runs a call under a ticket and counts it against its account's limits.
+func (d *Daemon) runOrder(ctx context.Context, o relay.Order) (client.Reply, error) {
+	table := d.tables.Current()
+	if table == nil {
+		return client.Reply{}, fault.New(code.NotReady, "no table is in force")
+	}
+	row := table.Account(o.Account)
+	if row == nil {
+		return client.Reply{}, fault.New(code.UnknownAccount, "account %s has left the table", o.Account)
+	}
+	give, err := d.limits.Take(ctx, row, table.Policy.Seats)
+	if err != nil {
+		return client.Reply{}, err
+	}
+	defer give()
+	return d.relay.Run(ctx, o)
+}
+
+func (d *Daemon) addressOf(name string) string {
+	for _, i := range d.roster.List().Instances {
+		if i.Entry && i.Name == name {
+			return i.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/daemon/stop.go
@@ -0,0 +1,71 @@
+package daemon
+
+// This file defines the graceful stop.
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	stopPoll     = 20 * time.Millisecond
+	stopLogEvery = time.Second
+	flushWait    = 50 * time.Millisecond // for the last answers to peers to leave
+)
+
+// Stop ends the daemon gracefully: it turns unready, accepts requests until the
+// balancer has noticed, and returns when all in flight are answered: streams,
+// calls under its tickets and calls of peers. It waits for unused tickets as
+// long again as for the balancer. The error says that ctx ended before.
+func (d *Daemon) Stop(ctx context.Context) error {
+	drain := d.config.Bounds.Drain.Duration()
+	d.desk.Shorten(drain)
+	d.stopping.Store(true)
+	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
+	wait(ctx, drain)
+	unused := time.Now().Add(drain)
+	done := make(chan error, 1)
+	go func() { done <- d.callers.Shutdown(ctx) }()
+	if err := d.waitIdle(ctx, unused); err != nil {
+		return err
+	}
+	if err := <-done; err != nil {
+		return err
+	}
+	d.log.Info("stopping: idle", "forgotten", d.desk.Unused())
+	wait(ctx, flushWait)
+	return ctx.Err()
+}
+
+// waitIdle returns once nothing is in flight, and logs what it waits for.
+func (d *Daemon) waitIdle(ctx context.Context, unusedUntil time.Time) error {
+	poll := time.NewTicker(stopPoll)
+	defer poll.Stop()
+	var logged time.Time
+	for {
+		flights, running, peers := d.flights.Load(), d.desk.Running(), d.mesh.Busy()
+		unused := 0
+		if time.Now().Before(unusedUntil) {
+			unused = d.desk.Unused()
+		}
+		if flights == 0 && running == 0 && peers == 0 && unused == 0 {
+			return nil
+		}
+		if time.Since(logged) >= stopLogEvery {
+			logged = time.Now()
+			d.log.Info("stopping: waiting", "flights", flights, "tickets", running, "peers", peers, "unused", unused)
+		}
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,7 +30,7 @@
 	dialTimeout  = 500 * time.Millisecond
 	helloTimeout = time.Second
 	callTimeout  = 5 * time.Second
-	mostMessage  = 2 << 20 // bytes
+	mostMessage  = 9 << 20 // bytes; a plain service's longest reply fits
 )
 
 // Handler answers a peer call. Its error reaches the peer as text.
@@ -40,6 +41,7 @@
 	self identity.Identity
 	tls  *tls.Config // nil for plain TCP
 	log  logr.Logger
+	busy atomic.Int64 // calls of peers that are being answered
 
 	mu       sync.Mutex
 	handlers map[kind.Kind]Handler
@@ -77,10 +79,14 @@
 }
 
 // Call sends one call to the daemon at address and decodes its answer into out.
-// It returns who answered. A session is opened where none stands.
+// It returns who answered. A session is opened where none stands. A context
+// without a deadline gets a short one.
 func (m *Mesh) Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
 	s, err := m.session(ctx, address)
 	if err != nil {
 		return identity.Identity{}, fmt.Errorf("calling %s at %s: %w", k, address, err)
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -58,10 +58,14 @@
 		if err != nil {
 			return
 		}
+		m.busy.Add(1)
 		go m.answer(ctx, s.peer, stream)
 	}
 }
 
+// Busy returns how many calls of peers are being answered.
+func (m *Mesh) Busy() int { return int(m.busy.Load()) }
+
 func (m *Mesh) track(s *session) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -80,6 +84,7 @@
 }
 
 func (m *Mesh) answer(ctx context.Context, from identity.Identity, stream *yamux.Stream) {
+	defer m.busy.Add(-1)
 	defer stream.Close()
 	if err := stream.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
 		return
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -18,38 +18,39 @@
 
 // Codes of class "not run".
 const (
-	BadJSON           Code = 1001
-	BodyTooLarge      Code = 1002
-	WrongMethod       Code = 1003
-	NoSuchPath        Code = 1004
-	UnknownPipeline   Code = 1005
-	UnknownModel      Code = 1006
-	UnknownService    Code = 1007
-	NoKey             Code = 1008
-	UnknownAccount    Code = 1009
-	BadDeadline       Code = 1010
-	BadField          Code = 1011
-	RateLimited       Code = 1101
-	CapReached        Code = 1102
-	Overloaded        Code = 1103
-	NoEndpoint        Code = 1104
-	NotReady          Code = 1105
-	NoTime            Code = 1106
-	LimitUnavailable  Code = 1107
-	EndpointRefused   Code = 1108
-	TicketRequired    Code = 1201
-	TicketInvalid     Code = 1202
-	TicketExpired     Code = 1203
-	TicketReused      Code = 1204
-	TicketStoreFull   Code = 1205
-	TicketUnreachable Code = 1206
+	BadJSON          Code = 1001
+	BodyTooLarge     Code = 1002
+	WrongMethod      Code = 1003
+	NoSuchPath       Code = 1004
+	UnknownPipeline  Code = 1005
+	UnknownModel     Code = 1006
+	UnknownService   Code = 1007
+	NoKey            Code = 1008
+	UnknownAccount   Code = 1009
+	BadDeadline      Code = 1010
+	BadField         Code = 1011
+	RateLimited      Code = 1101
+	CapReached       Code = 1102
+	Overloaded       Code = 1103
+	NoEndpoint       Code = 1104
+	NotReady         Code = 1105
+	NoTime           Code = 1106
+	LimitUnavailable Code = 1107
+	EndpointRefused  Code = 1108
+	TicketRequired   Code = 1201
+	TicketInvalid    Code = 1202
+	TicketExpired    Code = 1203
+	TicketReused     Code = 1204
+	TicketStoreFull  Code = 1205
 )
 
 // Codes of class "unknown".
 const (
-	AnswerLost   Code = 2001
-	DeadlineOver Code = 2002
-	IssuerGone   Code = 2003
+	AnswerLost        Code = 2001
+	DeadlineOver      Code = 2002
+	IssuerGone        Code = 2003
+	TicketUnreachable Code = 2004
+	TicketForgotten   Code = 2005
 )
 
 // Codes of class "failed".
@@ -59,6 +60,7 @@
 	OutOfTime    Code = 3003
 	AnswerBad    Code = 3004
 	Internal     Code = 3005
+	ReplyDropped Code = 3006
 )
 
 type entry struct {
@@ -92,15 +94,17 @@
 	TicketExpired:     {"ticket_expired", http.StatusGone, "the ticket has expired unused"},
 	TicketReused:      {"ticket_reused", http.StatusConflict, "the ticket was used for another call"},
 	TicketStoreFull:   {"ticket_store_full", http.StatusServiceUnavailable, "the instance holds as many tickets as it can"},
-	TicketUnreachable: {"ticket_unreachable", http.StatusServiceUnavailable, "this instance cannot reach the issuer; nothing was sent from here, and the ticket's own state is with its issuer"},
 	AnswerLost:        {"answer_lost", http.StatusBadGateway, "the call was sent and no whole answer came"},
 	DeadlineOver:      {"deadline_over", http.StatusGatewayTimeout, "the call was sent and the deadline passed"},
 	IssuerGone:        {"issuer_gone", http.StatusBadGateway, "the instance that issued the ticket is gone; the call may have run"},
+	TicketUnreachable: {"ticket_unreachable", http.StatusServiceUnavailable, "the ticket's issuer was not asked; an earlier use of the ticket may have run, so ask again with the same ticket"},
+	TicketForgotten:   {"ticket_forgotten", http.StatusGone, "the ticket expired some time ago and its issuer no longer knows whether it was used"},
 	StageFailed:       {"stage_failed", http.StatusBadGateway, "a stage ran and failed"},
 	StreamBroken:      {"stream_broken", http.StatusBadGateway, "the stream lost its engine and could not be resumed"},
 	OutOfTime:         {"out_of_time", http.StatusGatewayTimeout, "the deadline passed after some stages had run"},
 	AnswerBad:         {"answer_bad", http.StatusBadGateway, "a stage answered, and the answer was not whole or not its own"},
 	Internal:          {"internal", http.StatusInternalServerError, "the daemon met a state that it does not handle"},
+	ReplyDropped:      {"reply_dropped", http.StatusGone, "the call ran and was answered once; its reply was too large to hold for a repeat"},
 }
 
 // All returns every code in rising order.
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -46,12 +46,13 @@
 
 // Bounds limits what callers can make the daemon hold.
 type Bounds struct {
-	Body    int64     `json:"body"`    // bytes of a request body
-	Queue   int       `json:"queue"`   // requests that wait for an endpoint
-	Tickets int       `json:"tickets"` // tickets held at once
-	Conns   int       `json:"conns"`   // caller connections
-	Drain   span.Span `json:"drain"`   // time for the balancer to notice that the instance is unready
-	Start   span.Span `json:"start"`   // longest wait for the platform and peers at the start
+	Body     int64     `json:"body"`     // bytes of a request body
+	Queue    int       `json:"queue"`    // requests that wait for an endpoint
+	Tickets  int       `json:"tickets"`  // tickets held at once
+	Outcomes int64     `json:"outcomes"` // bytes of replies held for repeats of tickets
+	Conns    int       `json:"conns"`    // caller connections
+	Drain    span.Span `json:"drain"`    // time for the balancer to notice that the instance is unready
+	Start    span.Span `json:"start"`    // longest wait for the platform and peers at the start
 }
 
 // Default returns settings with every optional value set.
@@ -62,12 +63,13 @@
 		Operator: Operator{Listener: Listener{Address: "127.0.0.1:8082"}},
 		Log:      "info",
 		Bounds: Bounds{
-			Body:    1 << 20,
-			Queue:   1000,
-			Tickets: 100_000,
-			Conns:   10_000,
-			Drain:   span.Span(5 * time.Second),
-			Start:   span.Span(3 * time.Second),
+			Body:     1 << 20,
+			Queue:    1000,
+			Tickets:  100_000,
+			Outcomes: 8 << 20,
+			Conns:    10_000,
+			Drain:    span.Span(5 * time.Second),
+			Start:    span.Span(3 * time.Second),
 		},
 	}
 }
@@ -149,6 +151,7 @@
 	atLeastOne("body", b.Body)
 	atLeastOne("queue", int64(b.Queue))
 	atLeastOne("tickets", int64(b.Tickets))
+	atLeastOne("outcomes", b.Outcomes)
 	atLeastOne("conns", int64(b.Conns))
 	if b.Drain < 0 {
 		list.Add("bounds", "drain", b.Drain, "0s or more")
--- a/internal/ticket/desk/desk.go
+++ b/internal/ticket/desk/desk.go
@@ -1,132 +1,181 @@
-// Package desk issues tickets for non-idempotent calls and runs each at most once.
+// Package desk issues tickets for non-idempotent calls and has each run at most
+// once: by this daemon when it issued the ticket, by the issuer otherwise.
 package desk
 
-// This file defines Desk.
+// This file defines Desk, the issuing of tickets, and calls that run here.
 
 import (
 	"context"
 	"crypto/rand"
-	"sync"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/store"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/token"
 )
 
 const secretSize = 32 // bytes
 
-// Desk holds the tickets that this start of this instance issued.
+// Runner runs an order under its account's limits. The error is a *fault.Fault.
+type Runner func(ctx context.Context, o relay.Order) (client.Reply, error)
+
+// Caller sends calls to peers, as *mesh.Mesh does.
+type Caller interface {
+	Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error)
+}
+
+// Finder returns the peer address of an instance, or "" for one that no list names.
+type Finder func(name string) string
+
+// Desk issues tickets under a secret of its own, which no other process knows.
 type Desk struct {
 	self   identity.Identity
-	most   int
 	secret []byte
+	store  *store.Store
+	run    Runner
+	peers  Caller
+	find   Finder
+	log    logr.Logger
 
-	mu      sync.Mutex
-	last    uint64
-	tickets map[uint64]*ticket
+	longest atomic.Int64 // longest life of a new ticket, as a time.Duration; zero for no bound
 }
 
-type ticket struct {
-	expiry time.Time
-	digest string        // digest of the call that used the ticket; empty while unused
-	done   chan struct{} // closed once reply and err are set
-	reply  client.Reply
-	err    error
-}
-
-// New returns a desk that holds at most the given number of tickets.
-func New(self identity.Identity, most int) *Desk {
+// New returns a desk that holds its tickets in s.
+func New(self identity.Identity, s *store.Store, run Runner, peers Caller, find Finder, log logr.Logger) *Desk {
 	secret := make([]byte, secretSize)
 	rand.Read(secret)
-	return &Desk{self: self, most: most, secret: secret, tickets: make(map[uint64]*ticket)}
+	return &Desk{self: self, secret: secret, store: s, run: run, peers: peers, find: find, log: log}
 }
 
 // Issue returns the text of a new ticket for an account.
 func (d *Desk) Issue(account string, life time.Duration) (string, time.Time, error) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.tickets) >= d.most {
-		d.sweep(now)
+	if longest := time.Duration(d.longest.Load()); longest > 0 {
+		life = min(life, longest)
 	}
-	if len(d.tickets) >= d.most {
-		return "", time.Time{}, fault.New(code.TicketStoreFull, "%d tickets are held", len(d.tickets))
+	now := time.Now()
+	expiry := now.Add(life).Truncate(time.Millisecond)
+	number, err := d.store.Issue(now, now.Add(life))
+	if err != nil {
+		return "", time.Time{}, err
 	}
-	d.last++
-	expiry := now.Add(life)
-	d.tickets[d.last] = &ticket{expiry: expiry, done: make(chan struct{})}
 	t := token.Token{
 		Issuer:      d.self.Name,
 		Incarnation: d.self.Incarnation,
-		Number:      d.last,
+		Number:      number,
 		Expiry:      expiry,
 		Account:     account,
 	}
 	return t.Sign(d.secret), expiry, nil
 }
 
-// sweep forgets expired tickets whose call is not running.
-func (d *Desk) sweep(now time.Time) {
-	for n, t := range d.tickets {
-		running := t.digest != "" && !isClosed(t.done)
-		if now.After(t.expiry) && !running {
-			delete(d.tickets, n)
-		}
-	}
-}
+// Shorten bounds the life of tickets issued from now on, so that a daemon that
+// stops can wait for all of them.
+func (d *Desk) Shorten(longest time.Duration) { d.longest.Store(int64(longest)) }
 
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
+// Running returns how many calls under tickets of this desk have no outcome yet.
+func (d *Desk) Running() int { return d.store.Running() }
+
+// Unused returns how many tickets of this desk may still be used.
+func (d *Desk) Unused() int { return d.store.Unused(time.Now()) }
+
+// Run has an order run under a ticket, or returns the outcome of its first
+// run. The error is a *fault.Fault.
+func (d *Desk) Run(ctx context.Context, text string, o relay.Order) (client.Reply, error) {
+	t, err := token.Parse(text)
+	if err != nil {
+		return client.Reply{}, fault.Wrap(code.TicketInvalid, err, "from account %s", o.Account)
+	}
+	if t.Account != o.Account {
+		return client.Reply{}, fault.New(code.TicketInvalid, "the ticket is of another account")
+	}
+	if t.Issuer != d.self.Name {
+		return d.forward(ctx, text, t, o)
 	}
+	return d.runHere(ctx, text, o)
 }
 
-// Run runs the call that digest identifies under a ticket. A repeat of the same
-// call waits for the first and gets its result; another call is refused.
-func (d *Desk) Run(ctx context.Context, text, account, digest string, run func() (client.Reply, error)) (client.Reply, error) {
-	t, first, err := d.claim(text, account, digest)
+// runHere runs an order under a ticket of this desk. The call goes on when ctx
+// ends, and its outcome is kept.
+func (d *Desk) runHere(ctx context.Context, text string, o relay.Order) (client.Reply, error) {
+	t, err := d.verify(text, o.Account)
+	if err != nil {
+		return client.Reply{}, err
+	}
+	f, first, err := d.store.Claim(t.Number, digestOf(o), time.Now())
 	if err != nil {
 		return client.Reply{}, err
 	}
 	if first {
-		t.reply, t.err = run()
-		close(t.done)
-		return t.reply, t.err
+		o.Call.Key = text
+		if t.Expiry.Before(o.Call.Deadline) {
+			o.Call.Deadline = t.Expiry
+		}
+		go d.execute(context.WithoutCancel(ctx), t.Number, o)
 	}
 	select {
-	case <-t.done:
-		return t.reply, t.err
+	case <-f.Done():
+		return unpack(f.Outcome())
 	case <-ctx.Done():
-		return client.Reply{}, fault.New(code.DeadlineOver, "the first call with this ticket is still running")
+		return client.Reply{}, fault.Wrap(code.DeadlineOver, ctx.Err(), "ticket %d is still running", t.Number)
+	}
+}
+
+func (d *Desk) verify(text, account string) (token.Token, error) {
+	t, err := token.Parse(text)
+	if err != nil {
+		return t, fault.Wrap(code.TicketInvalid, err, "from account %s", account)
+	}
+	if t.Issuer != d.self.Name || t.Incarnation != d.self.Incarnation {
+		return t, fault.New(code.IssuerGone, "got issuer %s@%d, want %s", t.Issuer, t.Incarnation, d.self)
 	}
+	t, err = token.Verify(text, d.secret)
+	if err != nil {
+		return t, fault.Wrap(code.TicketInvalid, err, "from account %s", account)
+	}
+	if t.Account != account {
+		return t, fault.New(code.TicketInvalid, "the ticket is of another account")
+	}
+	return t, nil
 }
 
-func (d *Desk) claim(text, account, digest string) (t *ticket, first bool, err error) {
-	tok, err := token.Verify(text, d.secret)
+func (d *Desk) execute(ctx context.Context, number uint64, o relay.Order) {
+	ctx, cancel := context.WithDeadline(ctx, o.Call.Deadline)
+	defer cancel()
+	reply, err := d.run(ctx, o)
+	out := store.Outcome{Reply: reply}
 	if err != nil {
-		return nil, false, fault.Wrap(code.TicketInvalid, err, "from account %s", account)
-	}
-	if tok.Account != account {
-		return nil, false, fault.New(code.TicketInvalid, "the ticket is of another account")
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t = d.tickets[tok.Number]
-	switch {
-	case t == nil || t.digest == "" && time.Now().After(t.expiry):
-		return nil, false, fault.New(code.TicketExpired, "at %s", tok.Expiry.Format(time.RFC3339))
-	case t.digest == "":
-		t.digest = digest
-		return t, true, nil
-	case t.digest != digest:
-		return nil, false, fault.New(code.TicketReused, "for another call")
-	default:
-		return t, false, nil
+		out = store.Outcome{Fault: fault.From(err)}
+		d.log.Info("ticket ended without a reply", "request", o.Call.Request, "account", o.Account,
+			"ticket", number, "code", int(out.Fault.Code), "error", out.Fault.Error())
+	}
+	d.store.Complete(number, out, time.Now())
+}
+
+func unpack(o store.Outcome) (client.Reply, error) {
+	if o.Fault != nil {
+		return client.Reply{}, o.Fault
+	}
+	return o.Reply, nil
+}
+
+// digestOf returns a digest of what an order asks for: the same call in
+// another request has the same digest. Each part has its length in front.
+func digestOf(o relay.Order) store.Digest {
+	h := sha256.New()
+	for _, part := range []string{o.Service, o.Call.Method, o.Call.Path, o.Call.Type, string(o.Call.Body)} {
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		h.Write([]byte(part))
 	}
+	return store.Digest(h.Sum(nil))
 }
