--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -21,11 +21,13 @@
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
 	"github.com/jacinthstile/jacinthstile/internal/table/feed"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
@@ -44,6 +46,7 @@
 	tables   *holder.Holder
 	feed     *feed.Feed
 	roster   *roster.Roster
+	members  *membership.Membership
 	mesh     *mesh.Mesh
 	limits   *keeper.Keeper
 	relay    *relay.Relay
@@ -70,10 +73,13 @@
 	var closeMesh func()
 	d.mesh, closeMesh = mesh.New(self, nil, d.log)
 	d.roster = roster.New(source, d.log)
+	d.members = membership.New(c.Name)
+	d.mesh.Observe(d.members)
+	d.roster.Watch(d.members.Update)
 	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
 
 	stats := board.New()
-	pick := picker.New(c.Centre, stats)
+	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	d.limits = keeper.New(self.Seat)
 	d.relay = relay.New(d.tables, pick, stats, endpoints, d.log)
 	d.desk = d.newDesk(self)
--- a/internal/entry/daemon/order.go
+++ b/internal/entry/daemon/order.go
@@ -1,6 +1,6 @@
 package daemon
 
-// This file wires the tickets: how a call under a ticket runs, and where its issuer is.
+// This file wires the tickets.
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 		Bytes:   d.config.Bounds.Outcomes,
 		Reply:   mostHeldReply,
 	})
-	k := desk.New(self, s, d.runOrder, d.mesh, d.addressOf, d.log)
+	k := desk.New(self, s, d.runOrder, d.mesh, d.members.Find, d.log)
 	d.mesh.Handle(kind.TicketRun, k.Answer)
 	return k
 }
@@ -45,12 +45,3 @@
 	defer give()
 	return d.relay.Run(ctx, o)
 }
-
-func (d *Daemon) addressOf(name string) string {
-	for _, i := range d.roster.List().Instances {
-		if i.Entry && i.Name == name {
-			return i.Address
-		}
-	}
-	return ""
-}
--- a/internal/ticket/desk/desk.go
+++ b/internal/ticket/desk/desk.go
@@ -32,11 +32,12 @@
 
 // Caller sends calls to peers, as *mesh.Mesh does.
 type Caller interface {
-	Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error)
+	CallExact(ctx context.Context, address string, want identity.Identity, k kind.Kind, in, out proto.Message) error
 }
 
-// Finder returns the peer address of an instance, or "" for one that no list names.
-type Finder func(name string) string
+// Finder returns the peer address of an instance, and false for one that is
+// neither listed nor heard of.
+type Finder func(name string) (address string, ok bool)
 
 // Desk issues tickets under a secret of its own, which no other process knows.
 type Desk struct {
--- a/internal/ticket/desk/desk_test.go
+++ b/internal/ticket/desk/desk_test.go
@@ -8,7 +8,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +23,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/result/class"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -100,13 +100,10 @@
 	f()
 }
 
-func (w *world) find(name string) string {
+func (w *world) find(name string) (string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.listed[name] {
-		return name
-	}
-	return ""
+	return name, w.listed[name]
 }
 
 func (w *world) run(ctx context.Context, o relay.Order) (client.Reply, error) {
@@ -124,25 +121,27 @@
 	return client.Reply{Status: 201, Body: fmt.Appendf(nil, "%s of %s", o.Call.Body, o.Call.Request)}, ctx.Err()
 }
 
-func (w *world) Call(ctx context.Context, address string, _ kind.Kind, in, out proto.Message) (identity.Identity, error) {
+func (w *world) CallExact(ctx context.Context, address string, want identity.Identity, _ kind.Kind, in, out proto.Message) error {
 	d, f := w.desk(address), w.fate(address)
 	var self identity.Identity
 	w.set(func() { self = w.selves[address] })
-	if f == neverSent || d == nil {
-		return identity.Identity{}, &net.OpError{Op: "dial", Err: errLost}
-	}
-	if f == lostBefore {
-		return identity.Identity{}, errLost
+	switch {
+	case f == neverSent:
+		return &mesh.Unreachable{Address: address, Cause: errLost}
+	case self != want:
+		return &mesh.Gone{Want: want, Got: self}
+	case f == lostBefore:
+		return &mesh.Lost{Peer: self, Cause: errLost}
 	}
 	body, err := proto.Marshal(in)
 	if err != nil {
-		return identity.Identity{}, err
+		return err
 	}
 	answer, err := d.Answer(ctx, identity.Identity{}, body)
 	if err != nil || f == lostAfter {
-		return self, errLost
+		return &mesh.Lost{Peer: self, Cause: errLost}
 	}
-	return self, proto.Unmarshal(answer, out)
+	return proto.Unmarshal(answer, out)
 }
 
 func order(request, account, body string) relay.Order {
--- a/internal/ticket/desk/forward.go
+++ b/internal/ticket/desk/forward.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,6 +13,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/ticketpb"
@@ -32,20 +32,25 @@
 func (d *Desk) forward(ctx context.Context, text string, t token.Token, o relay.Order) (client.Reply, error) {
 	ctx, cancel := context.WithDeadline(ctx, o.Call.Deadline)
 	defer cancel()
-	address := d.find(t.Issuer)
-	if address == "" {
+	address, ok := d.find(t.Issuer)
+	if !ok {
 		return client.Reply{}, fault.New(code.IssuerGone, "issuer %s is on no list", t.Issuer)
 	}
+	want := identity.Identity{Name: t.Issuer, Incarnation: t.Incarnation}
 	sent := false
 	var last error
 	for ask := 1; ask <= mostAsks && ctx.Err() == nil; ask++ {
 		var out ticketpb.Outcome
-		from, err := d.peers.Call(ctx, address, kind.TicketRun, d.encode(text, o), &out)
+		err := d.peers.CallExact(ctx, address, want, kind.TicketRun, encode(text, o), &out)
 		if err == nil {
-			return d.accept(t, from, &out)
+			return accept(&out)
+		}
+		if gone := new(mesh.Gone); errors.As(err, &gone) {
+			return client.Reply{}, fault.Wrap(code.IssuerGone, err, "issuer %s", want)
 		}
 		last = err
-		sent = sent || !isUnsent(err)
+		unreachable := new(mesh.Unreachable)
+		sent = sent || !errors.As(err, &unreachable)
 		d.log.Info("ticket not forwarded", "request", o.Call.Request, "issuer", t.Issuer,
 			"ask", ask, "sent", sent, "error", err.Error())
 		pause(ctx, askPause)
@@ -60,7 +65,7 @@
 	}
 }
 
-func (d *Desk) encode(text string, o relay.Order) *ticketpb.Run {
+func encode(text string, o relay.Order) *ticketpb.Run {
 	return &ticketpb.Run{
 		Ticket: text, Account: o.Account, Service: o.Service, Request: o.Call.Request,
 		Method: o.Call.Method, Path: o.Call.Path, Type: o.Call.Type, Body: o.Call.Body,
@@ -68,10 +73,7 @@
 	}
 }
 
-func (d *Desk) accept(t token.Token, from identity.Identity, out *ticketpb.Outcome) (client.Reply, error) {
-	if from.Name != t.Issuer {
-		return client.Reply{}, fault.New(code.TicketUnreachable, "got %s at the address of %s", from, t.Issuer)
-	}
+func accept(out *ticketpb.Outcome) (client.Reply, error) {
 	if out.Code != 0 {
 		f := fault.New(code.Code(out.Code), "%s", out.Detail)
 		f.After = time.Duration(out.After) * time.Millisecond
@@ -80,12 +82,6 @@
 	return client.Reply{Status: int(out.Status), Type: out.Type, Body: out.Body}, nil
 }
 
-// isUnsent reports whether a failed call to a peer is known not to have left this process.
-func isUnsent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
