--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -34,6 +34,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/service"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/store"
 )
 
 // Names of the base table.
@@ -44,9 +45,10 @@
 	Model   = "small-7b"
 	Service = "orders"
 
-	waiting = 100      // calls that may wait for one role and model
-	body    = 64 << 10 // bytes of a request body
-	tickets = 1000
+	waiting  = 100      // calls that may wait for one role and model
+	body     = 64 << 10 // bytes of a request body
+	tickets  = 1000
+	outcomes = 1 << 20 // bytes of replies held for tickets
 )
 
 // Rig is one instance without its listeners.
@@ -71,8 +73,10 @@
 	r.Dispatcher = dispatcher.New(r.Tables, pick, r.Board, waiting, log, r.Scope)
 	r.Runner = runner.New(r.Tables, r.Dispatcher, c, budget, log, r.Scope)
 	r.Relay = relay.New(r.Tables, r.Dispatcher, c, budget, log, r.Scope)
-	r.Caller = caller.New(r.Tables, r.Runner, r.Relay, keeper.New(0),
-		desk.New(identity.Identity{Name: "rig", Incarnation: 1}, tickets), body, log)
+	held := store.New(store.Options{Tickets: tickets, Bytes: outcomes, Reply: outcomes / tickets})
+	alone := func(string) (string, bool) { return "", false }
+	k := desk.New(identity.Identity{Name: "rig", Incarnation: 1}, held, r.Relay.Run, nil, alone, log)
+	r.Caller = caller.New(r.Tables, r.Runner, r.Relay, keeper.New(0), k, body, log)
 	return r, closeClient
 }
 
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -75,6 +75,9 @@
 	}
 }
 
+// Busy returns how many calls of peers are being handled.
+func (m *Mesh) Busy() int { return len(m.handled) }
+
 // welcome takes the hello of a new session, which must come within helloTimeout.
 func (m *Mesh) welcome(s *session, conn net.Conn) (string, error) {
 	late := time.AfterFunc(helloTimeout, func() { s.mux.Close() })
