--- a/internal/standin/cache/cache.go
+++ b/internal/standin/cache/cache.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 )
 
 // mostEvents bounds the events that are kept for readers.
@@ -53,7 +55,7 @@
 
 // Use returns the share of a prompt that was cached, from 0 to 1, and keeps the whole prompt.
 func (c *Cache) Use(prompt string) float64 {
-	blocks := blocksOf(prompt)
+	blocks := prefix.Blocks(nil, prompt)
 	if len(blocks) == 0 {
 		return 0
 	}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,137 @@
+package engine_test
+
+// This file checks what engines do besides generating.
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/standin/cache"
+	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
+	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
+	"github.com/jacinthstile/jacinthstile/internal/standin/store"
+)
+
+// ask sends one request without a socket.
+func ask(e *engine.Engine, method, path string, body any) *httptest.ResponseRecorder {
+	data, _ := json.Marshal(body)
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(data)))
+	return w
+}
+
+func stage(request, prompt string, more map[string]any) map[string]any {
+	q := map[string]any{"request": request, "stage": "generate", "attempt": 1, "prompt": prompt, "tokens": 4}
+	for k, v := range more {
+		q[k] = v
+	}
+	return q
+}
+
+func TestServiceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := ledger.New()
+		e := engine.New(engine.Options{
+			Name: "llm-1", Slots: 2, First: 10 * time.Millisecond, Prompt: time.Millisecond,
+			Token: 5 * time.Millisecond, Growth: 1, Cache: cache.Options{Blocks: 100},
+		}, l)
+		prompt := strings.Repeat("x", 512) // 128 tokens, two whole blocks
+		for _, more := range []map[string]any{nil, nil, {"import": "kv/r2/generate"}, {"from": 3}} {
+			ask(e, "POST", "/v1/stages", stage(fmt.Sprintf("r%d", len(l.Entries())), prompt, more))
+		}
+		cold, warm, imported, resumed := l.Entries()[0], l.Entries()[1], l.Entries()[2], l.Entries()[3]
+		g.Expect(cold.Busy).To(Equal(153 * time.Millisecond))
+		g.Expect(warm.Busy).To(Equal(25 * time.Millisecond))
+		g.Expect(warm.Cached).To(Equal(128))
+		g.Expect(imported.Imported).To(BeTrue())
+		g.Expect(resumed.Tokens).To(Equal(1))
+	})
+}
+
+func TestBatchGrowsTheTimeOfAToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := ledger.New()
+		e := engine.New(engine.Options{Name: "llm-1", Slots: 2, Token: 5 * time.Millisecond, Growth: 1}, l)
+		go ask(e, "POST", "/v1/stages", stage("a", "", nil))
+		ask(e, "POST", "/v1/stages", stage("b", "", nil))
+		synctest.Wait()
+		NewWithT(t).Expect(l.Entries()[0].Busy).To(Equal(30 * time.Millisecond))
+	})
+}
+
+func TestCancelEndsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := ledger.New()
+		e := engine.New(engine.Options{Name: "llm-1", Slots: 1, Token: time.Second}, l)
+		go ask(e, "POST", "/v1/stages", stage("a", "", nil))
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(ask(e, "POST", "/v1/kv/export", map[string]string{"request": "a", "stage": "generate"}).Code).To(Equal(http.StatusOK))
+		ask(e, "DELETE", "/v1/stages/a/generate/1", nil)
+		synctest.Wait()
+		g.Expect(l.Entries()[0].Cancelled).To(BeTrue())
+		g.Expect(l.Entries()[0].Tokens).To(Equal(2))
+		g.Expect(l.Cancels()).To(HaveLen(1))
+	})
+}
+
+func TestOrders(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			e := engine.New(engine.Options{
+				Name: "llm-1", Slots: 1, Models: []string{"a"}, Sizes: map[string]int64{"b": 2000},
+				Fenced: fenced, Weights: store.New(1000),
+			}, ledger.New())
+			order := func(version int, model string) int {
+				return ask(e, "POST", "/v1/orders", map[string]any{
+					"epoch": 1, "version": version, "models": []map[string]string{{"name": model}},
+				}).Code
+			}
+			serves := func(model string) int {
+				return ask(e, "POST", "/v1/stages", stage("r", "", map[string]any{"model": model})).Code
+			}
+			g.Expect(order(2, "b")).To(Equal(http.StatusOK))
+			g.Expect(serves("b")).To(Equal(http.StatusServiceUnavailable), "while it loads")
+			g.Expect(serves("a")).To(Equal(http.StatusOK), "until the other is loaded")
+			time.Sleep(3 * time.Second)
+			g.Expect(serves("b")).To(Equal(http.StatusOK))
+			want := http.StatusOK
+			if fenced {
+				want = http.StatusConflict
+			}
+			g.Expect(order(1, "a")).To(Equal(want))
+		})
+	}
+}
+
+func TestEventsComeLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := engine.New(engine.Options{
+			Name: "llm-1", Slots: 1, Cache: cache.Options{Blocks: 2, Lag: time.Second, Gap: 2},
+		}, ledger.New())
+		ask(e, "POST", "/v1/stages", stage("r", strings.Repeat("x", 1024), nil)) // 4 blocks, 2 dropped
+		read := func() (out struct {
+			Next   uint64
+			Events []struct{ Drop bool }
+		}) {
+			json.Unmarshal(ask(e, "GET", "/v1/events?after=0", nil).Body.Bytes(), &out)
+			return out
+		}
+		g.Expect(read().Events).To(BeEmpty())
+		time.Sleep(time.Second)
+		g.Expect(read().Events).To(HaveLen(3), "half of 6 events")
+		g.Expect(read().Next).To(BeEquivalentTo(5))
+	})
+}
--- /dev/null
+++ b/internal/standin/trouble/trouble_test.go
@@ -0,0 +1,81 @@
+package trouble_test
+
+// This file meets every fault with the real endpoint client.
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/call"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/standin/answer"
+	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
+	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
+	"github.com/jacinthstile/jacinthstile/internal/standin/pool"
+	"github.com/jacinthstile/jacinthstile/internal/standin/trouble"
+)
+
+const tokens = 4
+
+func TestFaultsAtTheClient(t *testing.T) {
+	cases := []struct {
+		fault  trouble.Fault
+		pool   failure.Kind // zero for a whole answer
+		engine failure.Kind
+		runs   int // executions that the ledger counts for each endpoint
+	}{
+		{trouble.Fault{Kind: trouble.DeadBefore}, failure.Lost, failure.Lost, 0},
+		{trouble.Fault{Kind: trouble.DeadAfter}, failure.Lost, failure.Lost, 1},
+		{trouble.Fault{Kind: trouble.Slow}, 0, 0, 1},
+		{trouble.Fault{Kind: trouble.Errored}, failure.Errored, failure.Errored, 1},
+		{trouble.Fault{Kind: trouble.Refused}, failure.Refused, failure.Refused, 0},
+		{trouble.Fault{Kind: trouble.Late, Delay: 400 * time.Millisecond}, failure.Late, failure.Late, 1},
+		{trouble.Fault{Kind: trouble.Swapped}, failure.Foreign, failure.Foreign, 1},
+		{trouble.Fault{Kind: trouble.Cut, At: 2}, failure.Lost, failure.Lost, 1},
+		{trouble.Fault{Kind: trouble.Short, At: 2}, failure.Lost, failure.Lost, 1},
+		{trouble.Fault{Kind: trouble.Doubled}, failure.Lost, 0, 1},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault.Kind), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			l := ledger.New()
+			p := pool.New(pool.Options{Name: "encode-1", Slots: 1, Time: time.Millisecond}, l)
+			kind, _ := meet(t, c.fault, trouble.New(), p)
+			g.Expect(kind).To(Equal(c.pool), "pool")
+			e := engine.New(engine.Options{Name: "llm-1", Slots: 1, Token: time.Millisecond}, l)
+			kind, text := meet(t, c.fault, trouble.New(), e)
+			g.Expect(kind).To(Equal(c.engine), "engine")
+			whole := answer.Text("r", "s", "prompt", tokens)
+			g.Expect(strings.HasPrefix(whole, text)).To(BeTrue(), "tokens passed on: %q", text)
+			g.Expect(l.Entries()).To(HaveLen(2 * c.runs))
+		})
+	}
+}
+
+// meet sends a call that meets a fault and returns the kind of its failure, and
+// the tokens that were passed on.
+func meet(t *testing.T, f trouble.Fault, tr *trouble.Trouble, h http.Handler) (failure.Kind, string) {
+	tr.Add(f)
+	s := httptest.NewServer(tr.Wrap(h))
+	defer s.Close()
+	c, closeClient := client.New()
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	var text strings.Builder
+	_, err := c.Do(ctx, strings.TrimPrefix(s.URL, "http://"), call.Call{
+		Request: "r", Stage: "s", Attempt: 1, Prompt: "prompt", Tokens: tokens, Deadline: time.Now().Add(time.Second),
+	}, func(k call.Token) error { text.WriteString(k.Text); return nil })
+	if err == nil {
+		return 0, text.String()
+	}
+	return failure.KindOf(err), text.String()
+}
