Answer chats, pipelines and services as their clients expect

Cause: the chat shape took only string content, a bad field was told as bad JSON, paths with dot segments passed the check of operations, and a slow caller could hold a stream for ever. Change: content as text parts, max_completion_tokens, n; codes and classes also as headers; an error of a plain service passes whole, with the code beside it; wrong method told apart from unknown operation; digests compared in constant time; streams encode only the text of each token and give up on a caller that does not read beyond the deadline.

--- a/internal/entry/caller/answer.go
+++ b/internal/entry/caller/answer.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -43,12 +42,19 @@
 func refuse(w http.ResponseWriter, id string, f *fault.Fault) {
 	h := w.Header()
 	h.Set(HeaderRequest, id)
+	setCode(h, f.Code)
 	if f.After > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.After.Seconds()))))
 	}
 	writeJSON(w, f.Code.Status(), failureOf(id, f))
 }
 
+// setCode names the result code in the headers, for clients that do not read bodies.
+func setCode(h http.Header, c code.Code) {
+	h.Set(HeaderCode, strconv.Itoa(int(c)))
+	h.Set(HeaderClass, c.Class().String())
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -73,45 +79,17 @@
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return fault.Wrap(code.BadJSON, err, "parsing the body")
-	}
-	return nil
-}
-
-// events writes server-sent events. Headers go out with the first one.
-type events struct {
-	w       http.ResponseWriter
-	started bool
-}
-
-func (e *events) send(v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return e.raw(data)
-}
-
-func (e *events) raw(data []byte) error {
-	if !e.started {
-		e.started = true
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		e.w.Header().Set("Cache-Control", "no-store")
-	}
-	if _, err := fmt.Fprintf(e.w, "data: %s\n\n", data); err != nil {
-		return err
-	}
-	return http.NewResponseController(e.w).Flush()
-}
-
-// end reports a fault within the stream once it has started, since the status is out.
-func (e *events) end(id string, err error) error {
-	if err == nil || !e.started {
-		return err
-	}
-	if sendErr := e.send(failureOf(id, fault.From(err))); sendErr != nil {
+	err = json.Unmarshal(data, into)
+	var badType *json.UnmarshalTypeError
+	var own *fault.Fault
+	switch {
+	case err == nil:
 		return nil
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &badType) && badType.Field != "":
+		return fault.New(code.BadField, "%s: got %s, want %s", badType.Field, badType.Value, badType.Type)
+	default:
+		return fault.Wrap(code.BadJSON, err, "parsing the body")
 	}
-	return nil
 }
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -5,8 +5,7 @@
 // This file defines Server and its routes.
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"crypto/subtle"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +31,8 @@
 	HeaderRequest  = "Jacinthstile-Request"
 	HeaderDeadline = "Jacinthstile-Deadline"
 	HeaderTicket   = "Jacinthstile-Ticket"
+	HeaderCode     = "Jacinthstile-Code"
+	HeaderClass    = "Jacinthstile-Class"
 )
 
 // Server answers callers.
@@ -110,11 +111,12 @@
 	if !ok || key == "" {
 		return fault.New(code.NoKey, "want header Authorization: Bearer KEY")
 	}
-	sum := sha256.Sum256([]byte(key))
-	v.account = v.table.AccountOf(hex.EncodeToString(sum[:]))
-	if v.account == nil {
+	digest := account.DigestOf(key)
+	row := v.table.AccountOf(digest)
+	if row == nil || subtle.ConstantTimeCompare([]byte(row.Digest), []byte(digest)) != 1 {
 		return fault.New(code.UnknownAccount, "the key is of no account")
 	}
+	v.account = row
 	return nil
 }
 
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -4,6 +4,8 @@
 // that chat clients of the field speak.
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -14,20 +16,63 @@
 )
 
 type wireMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type wireDelta struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content,omitempty"`
 }
 
 type wireChat struct {
-	Model     string        `json:"model"`
-	Messages  []wireMessage `json:"messages"`
-	Stream    bool          `json:"stream"`
-	MaxTokens int           `json:"max_tokens"`
+	Model     string      `json:"model"`
+	Messages  []wireInput `json:"messages"`
+	Stream    bool        `json:"stream"`
+	Choices   int         `json:"n"`
+	MaxTokens int         `json:"max_tokens"`
+	Most      int         `json:"max_completion_tokens"` // the newer name of max_tokens
 	Options   struct {
 		Usage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
 
+type wireInput struct {
+	Role    string      `json:"role"`
+	Content wireContent `json:"content"`
+}
+
+// wireContent is a string, a list of text parts, or null.
+type wireContent string
+
+var _ json.Unmarshaler = (*wireContent)(nil)
+
+// UnmarshalJSON joins the parts of a list.
+func (c *wireContent) UnmarshalJSON(data []byte) error {
+	if !bytes.HasPrefix(data, []byte("[")) {
+		if err := json.Unmarshal(data, (*string)(c)); err != nil {
+			return fault.New(code.BadField, "content: got %s, want a string or a list of text parts", data)
+		}
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return fault.Wrap(code.BadField, err, "content: want a list of text parts")
+	}
+	var b strings.Builder
+	for i, p := range parts {
+		if p.Type != "text" {
+			return fault.New(code.BadField, "content[%d].type: got %q, want \"text\"", i, p.Type)
+		}
+		b.WriteString(p.Text)
+	}
+	*c = wireContent(b.String())
+	return nil
+}
+
 type wireUsage struct {
 	Prompt     int `json:"prompt_tokens"`
 	Completion int `json:"completion_tokens"`
@@ -37,7 +82,7 @@
 type wireChoice struct {
 	Index   int          `json:"index"`
 	Message *wireMessage `json:"message,omitempty"`
-	Delta   *wireMessage `json:"delta,omitempty"`
+	Delta   *wireDelta   `json:"delta,omitempty"`
 	Finish  *string      `json:"finish_reason"`
 }
 
@@ -73,7 +118,7 @@
 	}
 	c := v.completion(body.Model, "chat.completion")
 	c.Choices[0].Message = &wireMessage{Role: "assistant", Content: out.Output}
-	c.Choices[0].Finish = &out.Reason
+	c.Choices[0].Finish = finishOf(out)
 	c.Usage = usageOf(out)
 	writeJSON(w, http.StatusOK, c)
 	return nil
@@ -84,11 +129,8 @@
 	if m == nil || m.Pipeline == "" {
 		return job.Job{}, fault.New(code.UnknownModel, "got %q", body.Model)
 	}
-	if len(body.Messages) == 0 {
-		return job.Job{}, fault.New(code.BadField, "messages: got none, want 1 or more")
-	}
-	if body.MaxTokens < 0 {
-		return job.Job{}, fault.New(code.BadField, "max_tokens: got %d, want 0 or more", body.MaxTokens)
+	if err := body.check(); err != nil {
+		return job.Job{}, err
 	}
 	p := v.table.Pipeline(m.Pipeline)
 	deadline, err := v.deadline(r, p.Deadline.Duration())
@@ -97,51 +139,105 @@
 	}
 	return job.Job{
 		ID: v.id, Account: v.account.Name, Pipeline: p, Model: m.Name,
-		Input: flatten(body.Messages), Tokens: body.MaxTokens, Deadline: deadline,
+		Input: flatten(body.Messages), Tokens: max(body.MaxTokens, body.Most), Deadline: deadline,
 	}, nil
 }
 
+func (c wireChat) check() error {
+	switch {
+	case len(c.Messages) == 0:
+		return fault.New(code.BadField, "messages: got none, want 1 or more")
+	case c.MaxTokens < 0:
+		return fault.New(code.BadField, "max_tokens: got %d, want 0 or more", c.MaxTokens)
+	case c.Most < 0:
+		return fault.New(code.BadField, "max_completion_tokens: got %d, want 0 or more", c.Most)
+	case c.Choices > 1:
+		return fault.New(code.BadField, "n: got %d, want 1", c.Choices)
+	}
+	for i, m := range c.Messages {
+		if m.Role == "" {
+			return fault.New(code.BadField, "messages[%d].role: got nothing, want a role", i)
+		}
+	}
+	return nil
+}
+
 // flatten writes a conversation as text whose start does not change as it grows.
-func flatten(messages []wireMessage) string {
+func flatten(messages []wireInput) string {
 	var b strings.Builder
 	for _, m := range messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
-		b.WriteString(m.Content)
+		b.WriteString(string(m.Content))
 		b.WriteString("\n")
 	}
 	return b.String()
 }
 
 func (s *Server) chatStream(w http.ResponseWriter, r *http.Request, v visit, body wireChat, j job.Job) error {
-	stream := &events{w: w}
+	stream := newEvents(w, j.Deadline)
+	defer stream.close()
+	first, next := v.chunkHeads(body.Model)
 	out, err := s.runner.Run(r.Context(), j, func(t call.Token) error {
-		c := v.completion(body.Model, "chat.completion.chunk")
-		c.Choices[0].Delta = &wireMessage{Content: t.Text}
 		if t.Index == 0 {
-			c.Choices[0].Delta.Role = "assistant"
+			return stream.text(first, t.Text, chunkTail)
 		}
-		return stream.send(c)
+		return stream.text(next, t.Text, chunkTail)
 	})
 	if err != nil {
 		return stream.end(v.id, err)
 	}
-	last := v.completion(body.Model, "chat.completion.chunk")
-	last.Choices[0].Delta = &wireMessage{}
-	last.Choices[0].Finish = &out.Reason
+	s.chatEnd(stream, v, body, out)
+	return nil
+}
+
+// chatEnd sends the events after the last token. A caller that can't be
+// written to has left.
+func (s *Server) chatEnd(stream *events, v visit, body wireChat, out job.Outcome) {
+	last := v.completion(body.Model, chunkObject)
+	last.Choices[0].Delta = &wireDelta{}
+	last.Choices[0].Finish = finishOf(out)
 	if err := stream.send(last); err != nil {
-		return nil
+		return
 	}
 	if body.Options.Usage {
-		usage := v.completion(body.Model, "chat.completion.chunk")
+		usage := v.completion(body.Model, chunkObject)
 		usage.Choices = []wireChoice{}
 		usage.Usage = usageOf(out)
 		if err := stream.send(usage); err != nil {
-			return nil
+			return
 		}
 	}
 	stream.raw([]byte("[DONE]"))
-	return nil
+}
+
+const (
+	chunkObject = "chat.completion.chunk"
+	chunkTail   = `},"finish_reason":null}]}`
+)
+
+// chunkHeads returns what comes before the text of the first and of the later
+// chunks of a stream, so that each token needs no encoding but its own.
+func (v visit) chunkHeads(model string) (first, next []byte) {
+	c := v.completion(model, chunkObject)
+	c.Choices = nil
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic("caller: encoding a chunk: " + err.Error())
+	}
+	base := bytes.TrimSuffix(data, []byte(`"choices":null}`))
+	first = append(bytes.Clone(base), `"choices":[{"index":0,"delta":{"role":"assistant","content":`...)
+	next = append(bytes.Clone(base), `"choices":[{"index":0,"delta":{"content":`...)
+	return first, next
+}
+
+// finishOf returns why generation ended, in the words of chat clients.
+func finishOf(out job.Outcome) *string {
+	reason := out.Reason
+	if reason == "" {
+		reason = "stop"
+	}
+	return &reason
 }
 
 func (v visit) completion(model, object string) wireCompletion {
--- a/internal/entry/caller/pipeline.go
+++ b/internal/entry/caller/pipeline.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/go-chi/chi/v5"
 
@@ -27,11 +28,6 @@
 	Stages  []job.Stage `json:"stages"`
 }
 
-type wirePiece struct {
-	Index int    `json:"index"`
-	Text  string `json:"text"`
-}
-
 func (s *Server) pipeline(w http.ResponseWriter, r *http.Request, v visit) error {
 	name := chi.URLParam(r, "name")
 	p := v.table.Pipeline(name)
@@ -69,14 +65,25 @@
 		writeJSON(w, http.StatusOK, outcomeOf(v.id, out))
 		return nil
 	}
-	stream := &events{w: w}
+	return s.pipelineStream(w, r, v, j)
+}
+
+// pipelineStream sends each token as {"index":N,"text":"…"}, and the outcome last.
+func (s *Server) pipelineStream(w http.ResponseWriter, r *http.Request, v visit, j job.Job) error {
+	stream := newEvents(w, j.Deadline)
+	defer stream.close()
+	var head []byte
 	out, err := s.runner.Run(r.Context(), j, func(t call.Token) error {
-		return stream.send(wirePiece{Index: t.Index, Text: t.Text})
+		head = append(head[:0], `{"index":`...)
+		head = strconv.AppendInt(head, int64(t.Index), 10)
+		head = append(head, `,"text":`...)
+		return stream.text(head, t.Text, "}")
 	})
 	if err != nil {
 		return stream.end(v.id, err)
 	}
-	return stream.send(outcomeOf(v.id, out))
+	stream.send(outcomeOf(v.id, out))
+	return nil
 }
 
 func outcomeOf(id string, out job.Outcome) wireOutcome {
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -32,23 +34,23 @@
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request, v visit) error {
 	name := chi.URLParam(r, "service")
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
 	svc := v.table.Service(name)
 	if svc == nil {
 		return fault.New(code.UnknownService, "got %q", name)
 	}
-	op, ok := svc.Find(r.Method, path)
-	if !ok {
-		return fault.New(code.UnknownService, "got %s %s of service %s", r.Method, path, name)
+	op, err := find(svc, r.Method, rest)
+	if err != nil {
+		return err
 	}
-	o, err := s.order(w, r, v, svc, path)
+	o, err := s.order(w, r, v, svc, rest)
 	if err != nil {
 		return err
 	}
 	o.Idempotent = op.Idempotent
 	ticket := r.Header.Get(HeaderTicket)
 	if !op.Idempotent && ticket == "" && op.Ticket != service.Optional {
-		return fault.New(code.TicketRequired, "%s %s", r.Method, path)
+		return fault.New(code.TicketRequired, "%s %s", r.Method, rest)
 	}
 	reply, err := s.runOrder(r.Context(), o, v, ticket)
 	if err != nil {
@@ -57,12 +59,33 @@
 	if reply.Type != "" {
 		w.Header().Set("Content-Type", reply.Type)
 	}
+	if reply.Status >= http.StatusInternalServerError {
+		setCode(w.Header(), code.StageFailed)
+	}
 	w.WriteHeader(reply.Status)
 	w.Write(reply.Body)
 	return nil
 }
 
-func (s *Server) order(w http.ResponseWriter, r *http.Request, v visit, svc *service.Service, path string) (relay.Order, error) {
+// find returns the operation of a path. A path that an endpoint could read as
+// another one is refused, since operations are told apart by it.
+func find(svc *service.Service, method, escaped string) (service.Operation, error) {
+	plain, err := url.PathUnescape(escaped)
+	if err != nil || path.Clean(plain) != strings.TrimSuffix(plain, "/") && plain != "/" {
+		return service.Operation{}, fault.New(code.NoSuchPath, "got %s, want a path without empty or dot segments", escaped)
+	}
+	if op, ok := svc.Find(method, escaped); ok {
+		return op, nil
+	}
+	for _, op := range svc.Operations {
+		if _, ok := svc.Find(op.Method, escaped); ok {
+			return service.Operation{}, fault.New(code.WrongMethod, "got %s %s of service %s", method, escaped, svc.Name)
+		}
+	}
+	return service.Operation{}, fault.New(code.UnknownService, "got %s %s of service %s", method, escaped, svc.Name)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request, v visit, svc *service.Service, rest string) (relay.Order, error) {
 	body, err := s.read(w, r)
 	if err != nil {
 		return relay.Order{}, err
@@ -72,13 +95,13 @@
 		return relay.Order{}, err
 	}
 	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+		rest += "?" + r.URL.RawQuery
 	}
 	return relay.Order{
 		Account: v.account.Name,
 		Service: svc.Name,
 		Call: client.Plain{
-			Request: v.id, Method: r.Method, Path: path,
+			Request: v.id, Method: r.Method, Path: rest,
 			Type: r.Header.Get("Content-Type"), Body: body, Deadline: deadline,
 		},
 	}, nil
