Use peer sessions from both ends

Cause: 420 instances that each dialled the peers that had called them before held twice the sessions that they needed; in one process they passed the limit of 20,000 open files. Change: calls to a peer use the session that it opened, too.

--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -15,18 +15,22 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
 )
 
-// session returns the open session to an address, or opens one. Callers that
+// session returns the open session with the peer at an address, whichever side
+// opened it, or opens one. Callers that
 // come while it is being opened wait for the same one.
 func (m *Mesh) session(ctx context.Context, address string) (*session, error) {
 	m.mu.Lock()
-	s, closed := m.dialed[address], m.closed
+	closed := m.closed
+	for _, s := range []*session{m.dialed[address], m.inbound[address]} {
+		if s != nil && !closed && !s.mux.IsClosed() {
+			m.mu.Unlock()
+			return s, nil
+		}
+	}
 	m.mu.Unlock()
 	if closed {
 		return nil, net.ErrClosed
 	}
-	if s != nil && !s.mux.IsClosed() {
-		return s, nil
-	}
 	opened := m.dials.DoChan(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
@@ -54,6 +58,7 @@
 		return nil, err
 	}
 	m.observer().Heard(s.peer, theirs)
+	go m.answerAll(m.ctx, s)
 	return s, nil
 }
 
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -1,6 +1,6 @@
 // Package mesh carries calls between daemons: one yamux session for each pair
 // that talks, one stream for each call, protobuf messages on the stream.
-// Sessions are opened on demand and closed when idle.
+// Sessions are opened on demand, used from both ends, and closed when idle.
 package mesh
 
 // This file defines Mesh and its calling side.
@@ -62,13 +62,18 @@
 	own      string              // the address that this mesh accepts on
 	dialed   map[string]*session // by address
 	accepted map[*session]struct{}
+	inbound  map[string]*session // accepted ones by the address that the peer accepts on
 	closed   bool
+	ctx      context.Context // of the handlers on dialed sessions
 }
 
 // New returns a mesh without sessions, and a function that closes them all.
 // A nil security gives sessions over plain TCP.
 func New(self identity.Identity, security *TLS, log logr.Logger) (*Mesh, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
+		ctx:      ctx,
+		inbound:  make(map[string]*session),
 		self:     self,
 		tls:      security,
 		log:      log,
@@ -78,7 +83,10 @@
 		dialed:   make(map[string]*session),
 		accepted: make(map[*session]struct{}),
 	}
-	return m, m.close
+	return m, func() {
+		cancel()
+		m.close()
+	}
 }
 
 // Self returns the identity of this daemon.
@@ -174,6 +182,7 @@
 		all = append(all, s)
 	}
 	clear(m.dialed)
+	clear(m.inbound)
 	m.mu.Unlock()
 	for _, s := range all {
 		s.mux.Close()
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -124,6 +124,30 @@
 	g.Eventually(call, "2s", "10ms").Should(Succeed())
 }
 
+// TestSessionIsUsedFromBothEnds calls back the peer that opened a session.
+func TestSessionIsUsedFromBothEnds(t *testing.T) {
+	g := NewWithT(t)
+	a, atA := start(t, "a", 1, "127.0.0.1:0", nil)
+	b, atB := start(t, "b", 2, "127.0.0.1:0", nil)
+	seen := make(chan string, 2)
+	a.Observe(observer{seen})
+	_, err := a.Call(t.Context(), atB, kind.Part, &peerpb.Blob{}, &peerpb.Blob{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(<-seen).To(Equal("b@2 at " + atB))
+	who, err := b.Call(t.Context(), atA, kind.Part, &peerpb.Blob{}, &peerpb.Blob{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(who.String()).To(Equal("a@1"))
+	g.Expect(seen).NotTo(Receive(), "b opened no session of its own")
+}
+
+type observer struct{ seen chan string }
+
+func (o observer) Heard(peer identity.Identity, address string) {
+	o.seen <- peer.String() + " at " + address
+}
+
+func (o observer) Missed(string) {}
+
 // TestHalfOpenSessionIsReplaced freezes what stands between two meshes without
 // closing it, as a dead machine or a dropped route does.
 func TestHalfOpenSessionIsReplaced(t *testing.T) {
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -62,12 +62,41 @@
 		return
 	}
 	m.observer().Heard(s.peer, theirs)
+	m.offer(theirs, s)
+	defer m.withdraw(theirs, s)
+	m.answerAll(ctx, s)
+}
+
+// offer lets calls to the peer's address use a session that it opened.
+func (m *Mesh) offer(address string, s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address != "" {
+		m.inbound[address] = s
+	}
+}
+
+func (m *Mesh) withdraw(address string, s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.inbound[address] == s {
+		delete(m.inbound, address)
+	}
+}
+
+// answerAll answers the calls of a peer until the session ends.
+func (m *Mesh) answerAll(ctx context.Context, s *session) {
 	for {
-		stream, err := mux.AcceptStream()
+		stream, err := s.mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		go m.answer(ctx, s.peer, stream)
+		s.touch()
+		s.tasks.Add(1)
+		go func() {
+			defer s.tasks.Add(-1)
+			m.answer(ctx, s.peer, stream)
+		}()
 	}
 }
 
--- a/internal/peer/mesh/session.go
+++ b/internal/peer/mesh/session.go
@@ -23,7 +23,8 @@
 	meter *meter
 	peer  identity.Identity
 	slots chan struct{} // one for each call under way
-	used  atomic.Int64  // when a call last started, in nanoseconds of the Unix epoch
+	tasks atomic.Int64  // calls of the peer being answered
+	used  atomic.Int64  // when a call of either side last started, in nanoseconds of the Unix epoch
 }
 
 func newSession(mux *yamux.Session, m *meter) *session {
@@ -36,7 +37,7 @@
 
 func (s *session) lastUsed() time.Time { return time.Unix(0, s.used.Load()) }
 
-func (s *session) busy() bool { return len(s.slots) > 0 }
+func (s *session) busy() bool { return len(s.slots) > 0 || s.tasks.Load() > 0 }
 
 // call sends one request and reads its answer. Its error is an *Unreachable,
 // a *Lost or a *Remote.
--- a/internal/table/feed/peers.go
+++ b/internal/table/feed/peers.go
@@ -19,7 +19,7 @@
 
 const (
 	fanOut       = 4               // peers that an instance chooses to keep telling
-	greetings    = 16              // peers that are asked at the start
+	greetings    = 8               // peers that are asked at the start
 	pulseEvery   = 2 * time.Second // on average
 	pulseTimeout = 1500 * time.Millisecond
 	peerMemory   = 10 * time.Second // a pulse that is older says nothing any more
