--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -27,6 +27,8 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
+	"github.com/jacinthstile/jacinthstile/internal/placement/engine"
+	"github.com/jacinthstile/jacinthstile/internal/placement/issuer"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -50,6 +52,7 @@
 	feed     *feed.Feed
 	roster   *roster.Roster
 	members  *membership.Membership
+	issuer   *issuer.Issuer
 	mesh     *mesh.Mesh
 	limits   *keeper.Keeper
 	relay    *relay.Relay
@@ -72,6 +75,7 @@
 		Name: c.Name, Centre: c.Centre, Incarnation: uint64(time.Now().UnixNano()), Seat: seatOf(c),
 	}
 	source, closeSource := reader.New(c.Platform)
+	engines, closeEngines := engine.New()
 	endpoints, closeEndpoints := client.New()
 	var closeMesh func()
 	d.mesh, closeMesh = mesh.New(self, nil, d.log)
@@ -80,6 +84,7 @@
 	d.mesh.Observe(d.members)
 	d.roster.Watch(d.members.Update)
 	d.feed = feed.New(source, d.mesh, d.members, d.tables, c.Bounds.Start.Duration(), d.log)
+	d.issuer = issuer.New(d.tables, self.Seat, d.roster.Leaving, engines, d.log)
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
@@ -110,6 +115,7 @@
 		}
 		closeMesh()
 		closeEndpoints()
+		closeEngines()
 		closeSource()
 	}
 	if err := d.listen(); err != nil {
@@ -160,6 +166,7 @@
 	defer cancel()
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
+	go d.issuer.Run(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.callerListener) }()
 	go func() { failed <- d.operator.Serve(d.operatorListener) }()
--- /dev/null
+++ b/internal/placement/engine/engine.go
@@ -0,0 +1,118 @@
+// Package engine speaks the protocol in which model engines take orders.
+package engine
+
+// This file defines Client.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/placement/plan"
+	"github.com/jacinthstile/jacinthstile/internal/table/revision"
+)
+
+const (
+	timeout  = 2 * time.Second
+	mostBody = 64 << 10 // bytes
+)
+
+// Client reads what engines hold and sends them orders.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client, and a function that closes its idle connections.
+func New() (*Client, func()) {
+	t := &http.Transport{MaxIdleConns: 32, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	return &Client{http: &http.Client{Transport: t, Timeout: timeout}}, t.CloseIdleConnections
+}
+
+// Refused reports that an engine that checks fencing numbers follows a newer order.
+type Refused struct{ At revision.Revision }
+
+// Error names the order.
+func (r *Refused) Error() string { return fmt.Sprintf("order %s is old", r.At) }
+
+type wireModel struct {
+	Name    string `json:"name"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+}
+
+type wireState struct {
+	Epoch   uint64      `json:"epoch"`
+	Version uint64      `json:"version"`
+	Role    string      `json:"role"`
+	Models  []wireModel `json:"models"`
+	Loading bool        `json:"loading,omitempty"`
+}
+
+func (w wireState) state() plan.State {
+	s := plan.State{
+		At:      revision.Revision{Epoch: w.Epoch, Version: w.Version},
+		Role:    w.Role,
+		Loading: w.Loading,
+	}
+	for _, m := range w.Models {
+		s.Models = append(s.Models, plan.Model(m))
+	}
+	return s
+}
+
+// State returns what the engine at an address holds.
+func (c *Client) State(ctx context.Context, address string) (plan.State, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, urlOf(address), nil)
+	if err != nil {
+		return plan.State{}, fmt.Errorf("reading orders: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return plan.State{}, fmt.Errorf("reading orders: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return plan.State{}, fmt.Errorf("reading orders: got status %d, want 200", resp.StatusCode)
+	}
+	var w wireState
+	if err := json.NewDecoder(io.LimitReader(resp.Body, mostBody)).Decode(&w); err != nil {
+		return plan.State{}, fmt.Errorf("reading orders: %w", err)
+	}
+	return w.state(), nil
+}
+
+// Order sends an order. The error is a *Refused where the engine follows a newer one.
+func (c *Client) Order(ctx context.Context, o plan.Order) error {
+	w := wireState{Epoch: o.At.Epoch, Version: o.At.Version, Role: o.Role, Models: []wireModel{}}
+	for _, m := range o.Models {
+		w.Models = append(w.Models, wireModel(m))
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return fmt.Errorf("sending order: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, urlOf(o.Address), bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("sending order: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("sending order: %w", err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return &Refused{At: o.At}
+	default:
+		return fmt.Errorf("sending order: got status %d, want 200", resp.StatusCode)
+	}
+}
+
+func urlOf(address string) string { return "http://" + address + "/v1/orders" }
--- a/internal/table/feed/platform.go
+++ b/internal/table/feed/platform.go
@@ -27,7 +27,7 @@
 	fastRate  rate.Limit = 100 // objects a second
 	fastBurst            = 32  // objects
 	slowRate  rate.Limit = 2   // objects a second
-	slowBurst            = 4   // objects
+	slowBurst            = 2   // objects
 )
 
 // watch offers each manifest that the platform gives, until ctx ends. Every
