--- a/internal/admission/schedule/schedule.go
+++ b/internal/admission/schedule/schedule.go
@@ -39,10 +39,7 @@
 	times map[key]*measured
 }
 
-type key struct {
-	pipeline, stage string
-	first           bool // the time to the first token instead of the whole
-}
+type key struct{ pipeline, stage string }
 
 type measured struct{ mean, deviation float64 } // nanoseconds
 
@@ -61,15 +58,7 @@
 
 // Observe records the service time of a stage that succeeded, without its wait in a queue.
 func (s *Schedule) Observe(pipeline, stage string, took time.Duration) {
-	s.observe(key{pipeline: pipeline, stage: stage}, took)
-}
-
-// ObserveFirst records the time from the send to the first token of a stage.
-func (s *Schedule) ObserveFirst(pipeline, stage string, first time.Duration) {
-	s.observe(key{pipeline: pipeline, stage: stage, first: true}, first)
-}
-
-func (s *Schedule) observe(k key, took time.Duration) {
+	k := key{pipeline, stage}
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -86,28 +75,15 @@
 // Time returns the mean and mean deviation of a stage, or what the table
 // expects of it as long as nothing was measured.
 func (s *Schedule) Time(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
-	if mean, deviation = s.get(key{pipeline: p.Name, stage: p.Stages[i].Name}); mean > 0 {
-		return mean, deviation
-	}
-	expected := p.Stages[i].Time.Duration()
-	return expected, expected / 2
-}
-
-// First returns the mean and mean deviation of the time to the first token of
-// a stage, or zero as long as none was measured.
-func (s *Schedule) First(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
-	return s.get(key{pipeline: p.Name, stage: p.Stages[i].Name, first: true})
-}
-
-func (s *Schedule) get(k key) (mean, deviation time.Duration) {
+	k := key{p.Name, p.Stages[i].Name}
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	m := sh.times[k]
-	if m == nil {
-		return 0, 0
+	if m := sh.times[k]; m != nil {
+		return time.Duration(m.mean), time.Duration(m.deviation)
 	}
-	return time.Duration(m.mean), time.Duration(m.deviation)
+	expected := p.Stages[i].Time.Duration()
+	return expected, expected / 2
 }
 
 // Budget returns the part of the time left that stage i may use: what the
--- a/internal/bench/experiment/bench.go
+++ b/internal/bench/experiment/bench.go
@@ -43,7 +43,6 @@
 	random     *rand.Rand
 	table      *sheet.Sheet
 	share      retry.Share
-	patience   float64 // share of the spare time that a call waits before it is hedged
 	work       *workload
 	workers    map[string]*worker
 	order      []*worker
@@ -63,12 +62,11 @@
 	}
 	b := &bench{
 		options: o, deployment: deployment, policy: p, load: load, fault: f, table: t,
-		line:     &timeline{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
-		random:   rand.New(rand.NewPCG(seed, 7)),
-		patience: t.Policy.Cost / (t.Policy.Cost + t.Policy.Attainment),
-		share:    retry.Share{Retry: t.Policy.Retry, Hedge: t.Policy.Hedge},
-		workers:  make(map[string]*worker),
-		tally:    newTally(o.Traces),
+		line:    &timeline{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
+		random:  rand.New(rand.NewPCG(seed, 7)),
+		share:   retry.Share{Retry: t.Policy.Retry, Hedge: t.Policy.Hedge},
+		workers: make(map[string]*worker),
+		tally:   newTally(o.Traces),
 	}
 	b.end = b.line.now.Add(o.Warm + o.Length)
 	b.work = newWorkload(t, rand.New(rand.NewPCG(seed, 1)))
@@ -87,7 +85,7 @@
 func (b *bench) newEntry(i int, seed uint64) *entry {
 	e := &entry{
 		bench: b, centre: b.table.Centres[i%len(b.table.Centres)].Name,
-		board: board.New(), budget: retry.New(), schedule: schedule.New(),
+		board: board.New(), budget: retry.New(), schedule: schedule.New(), firsts: schedule.New(),
 		queues: make(map[waiting]*queue.Queue[*request]),
 	}
 	e.picker = picker.New(e.centre, b.policy.Rule, e.board, seed<<8+uint64(i))
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -31,7 +31,8 @@
 	board    *board.Board
 	picker   *picker.Picker
 	budget   *retry.Budget
-	schedule *schedule.Schedule
+	schedule *schedule.Schedule // of whole stages
+	firsts   *schedule.Schedule // until the first token of a stage
 	queues   map[waiting]*queue.Queue[*request]
 	roles    []waiting // the keys of queues, in order
 }
@@ -92,7 +93,7 @@
 
 func (e *entry) pick(r *request) picker.Choice {
 	st := r.stage()
-	q := picker.Query{Role: st.Role, Model: st.Model, Expect: st.Time.Duration(), Tried: r.tried, Now: e.bench.line.now}
+	q := picker.Query{Role: st.Role, Model: st.Model, Expect: st.Time.Duration(), Tried: r.tried, Again: !st.Once, Now: e.bench.line.now}
 	if st.Model != "" {
 		q.Blocks = r.blocks
 	}
@@ -172,12 +173,9 @@
 
 // hedgeLater sends a second attempt when the first has given no token in the usual time.
 func (e *entry) hedgeLater(r *request, a *attempt, load float64) {
-	mean, deviation := e.schedule.First(r.pipeline, r.index)
-	if mean == 0 {
-		mean, deviation = e.schedule.Time(r.pipeline, r.index)
-	}
+	mean, deviation := e.firsts.Time(r.pipeline, r.index)
 	spare := r.deadline.Sub(e.bench.line.now) - 2*e.schedule.Need(r.pipeline, r.index)
-	delay, ok := retry.Delay(mean, deviation, spare, e.bench.patience)
+	delay, ok := retry.Delay(mean, deviation, spare, e.bench.table.Policy.Patience())
 	if !ok {
 		return
 	}
@@ -218,9 +216,10 @@
 	e.done(a, 0)
 	e.cancelAll(r)
 	e.schedule.Observe(r.pipeline.Name, st.Name, took)
-	if a.first > 0 {
-		e.schedule.ObserveFirst(r.pipeline.Name, st.Name, a.first)
+	if a.first == 0 {
+		a.first = took
 	}
+	e.firsts.Observe(r.pipeline.Name, st.Name, a.first)
 	r.note(now, "%s done by %s", st.Name, a.worker.Name)
 	if a.worker.cache != nil && !now.Before(e.bench.faultAt()) && now.Before(e.bench.end) {
 		e.bench.made++
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -13,10 +13,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
@@ -48,6 +51,9 @@
 	roster   *roster.Roster
 	members  *membership.Membership
 	mesh     *mesh.Mesh
+	limits   *keeper.Keeper
+	relay    *relay.Relay
+	desk     *desk.Desk
 	callers  *http.Server
 	operator *http.Server
 	flights  atomic.Int64
@@ -77,13 +83,18 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
+	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
+	budget := retry.New()
+	d.limits = keeper.New(self.Seat)
+	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope)
+	d.desk = d.newDesk(self)
 	d.callers = &http.Server{
 		Handler: d.counted(caller.New(
 			d.tables,
-			runner.New(d.tables, pick, stats, endpoints, d.log),
-			relay.New(d.tables, pick, stats, endpoints, d.log),
-			keeper.New(self.Seat),
-			desk.New(self, c.Bounds.Tickets),
+			runner.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope),
+			d.relay,
+			d.limits,
+			d.desk,
 			c.Bounds.Body,
 			d.log,
 		)),
@@ -165,19 +176,6 @@
 	}
 }
 
-// Stop ends the daemon gracefully: it turns unready, accepts requests until the
-// balancer has noticed, and returns when all in flight are answered.
-func (d *Daemon) Stop(ctx context.Context) error {
-	d.stopping.Store(true)
-	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
-	select {
-	case <-time.After(d.config.Bounds.Drain.Duration()):
-	case <-ctx.Done():
-	}
-	d.log.Info("stopping: waiting for requests in flight", "flights", d.flights.Load())
-	return d.callers.Shutdown(ctx)
-}
-
 // CutPeers closes all peer sessions, as a failing network would.
 func (d *Daemon) CutPeers() { d.mesh.Cut() }
 
@@ -185,6 +183,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.flights.Add(1)
 		defer d.flights.Add(-1)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -29,7 +29,7 @@
 	idleTimeout   = time.Minute     // of a session without calls
 	deafTimeout   = 3 * time.Minute // of an accepted session without a byte
 	sweepEvery    = 15 * time.Second
-	mostMessage   = 2 << 20 // bytes
+	mostMessage   = 9 << 20 // bytes; a plain service's longest reply fits
 	mostCalls     = 200     // under way on one session
 	mostHandled   = 2048    // under way over all accepted sessions
 	mostDialed    = 64      // sessions
--- a/internal/routing/picker/group.go
+++ b/internal/routing/picker/group.go
@@ -72,12 +72,7 @@
 
 // saving weighs what a cached prefix saves: it shortens the call and frees the
 // engine for others, the more so where the table weighs cost.
-func saving(p *policy.Policy) float64 {
-	if p.Cost <= 0 {
-		return leastSaving
-	}
-	return leastSaving * (1 + p.Cost/(p.Cost+p.Attainment))
-}
+func saving(p *policy.Policy) float64 { return leastSaving * (1 + p.Patience()) }
 
 // judge lets the detector look at all members, at most once each refresh.
 func (g *group) judge(now time.Time) {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -88,7 +88,7 @@
 		return Choice{Reason: Reason{Ground: NoRow}}
 	}
 	c := p.choose(g, q)
-	if c.Reason.Ground == Unusable && len(q.Tried) > 0 {
+	if c.Reason.Ground == Unusable && q.Again && len(q.Tried) > 0 {
 		q.Tried = nil
 		return p.choose(g, q)
 	}
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -61,6 +61,9 @@
 				g.Expect(c.Endpoint.Name).To(Equal("e0007"))
 			}
 			c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Tried: []string{"e0007"}, Now: now})
+			g.Expect(c.Endpoint).To(BeNil())
+			g.Expect(c.Full).To(BeFalse())
+			c = p.Pick(s, picker.Query{Role: "generate", Model: "m", Tried: []string{"e0007"}, Again: true, Now: now})
 			g.Expect(c.Endpoint.Name).To(Equal("e0007"), "tried, but the only one that is allowed")
 			b.SetLeaving(map[string]bool{"e0007": true, "e0008": true})
 			c = p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
