--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -28,6 +28,7 @@
 	Blocks []uint64      // blocks of the prompt, see prefix.Blocks
 	Expect time.Duration // service time to assume where none was measured
 	Tried  []string      // endpoints that failed this call already
+	Again  bool          // a tried endpoint may be chosen where no other is usable
 	Now    time.Time
 }
 
