--- a/internal/bench/experiment/timeline.go
+++ b/internal/bench/experiment/timeline.go
@@ -26,8 +26,10 @@
 
 func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
+// Push implements heap.Interface; x is an event.
 func (h *events) Push(x any) { *h = append(*h, x.(event)) }
 
+// Pop implements heap.Interface.
 func (h *events) Pop() any {
 	old := *h
 	n := len(old) - 1
--- a/internal/bench/experiment/workload.go
+++ b/internal/bench/experiment/workload.go
@@ -172,10 +172,10 @@
 
 // growth returns how many times the offered load of all accounts a hog makes it.
 func (w *workload) growth() float64 {
-	plain, real := 0.0, 0.0
+	plain, offered := 0.0, 0.0
 	for i := range w.table.Accounts {
 		plain += w.table.Accounts[i].Weight
-		real += w.weight(&w.table.Accounts[i])
+		offered += w.weight(&w.table.Accounts[i])
 	}
-	return real / plain
+	return offered / plain
 }
