--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -45,7 +45,6 @@
 	return now.Sub(m.MissedAt) < min(firstRetry<<min(m.Missed-suspectAfter, 10), mostRetry)
 }
 
-
 // Membership holds the members by name. It is safe for concurrent use.
 type Membership struct {
 	self string
