Bound, secure and meter a daemon's listeners

Cause: the listeners spoke plain TCP, took any number of connections, and the operators' interface had neither metrics nor a credential. Change: TLS on every listener whose settings name keys, reread without restart; a bound on connections, headers, bodies in time, and answers in time; the operators' listener asks for its own token, compared in constant time; metrics by tally in the text form of the field's scrapers. A keypair package written beside credential at the same time is dropped for it; its test of rotation, foreign authorities and broken files now checks credential. The daemon's file is split by concept.

--- a/internal/entry/caller/answer.go
+++ b/internal/entry/caller/answer.go
@@ -9,6 +9,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -57,12 +58,28 @@
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	limitWrite(w)
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
 }
 
+// Times that a caller may take, so that a slow one does not hold a connection for long.
+const (
+	bodyTimeout  = 10 * time.Second // to send a request's body
+	writeTimeout = 10 * time.Second // to take an answer, or one event of a stream
+)
+
+// limitWrite bounds the time to take a whole answer. The deadline stays on the
+// connection until the next request lifts it.
+func limitWrite(w http.ResponseWriter) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // read returns the whole body, which may be empty.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer control.SetReadDeadline(time.Time{})
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.body))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -86,6 +86,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		v := visit{id: newID(), table: s.tables.Current(), start: time.Now()}
 		w.Header().Set(HeaderRequest, v.id)
+		http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		err := s.identify(r, &v)
 		if err == nil {
 			err = h(w, r, v)
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -62,6 +62,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		setCode(w.Header(), code.StageFailed)
 	}
+	limitWrite(w)
 	w.WriteHeader(reply.Status)
 	w.Write(reply.Body)
 	return nil
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -6,14 +6,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
@@ -35,11 +32,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/feed"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
-)
-
-const (
-	headerTimeout = 5 * time.Second
-	mostHeader    = 32 << 10 // bytes
+	"github.com/jacinthstile/jacinthstile/internal/watch/exporter"
 )
 
 // Daemon is one entry instance.
@@ -59,64 +52,75 @@
 	flights  atomic.Int64
 	stopping atomic.Bool
 
-	callerListener   net.Listener
-	peerListener     net.Listener
-	operatorListener net.Listener
+	listeners listeners
 }
 
 // New builds a daemon and opens its listeners. The returned function closes
 // everything at once; Stop before it lets requests in flight finish.
 func New(c config.Config, log logr.Logger) (*Daemon, func(), error) {
 	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New()}
+	var cleanUps cleanUps
+	if err := d.build(&cleanUps); err != nil {
+		cleanUps.run()
+		return nil, nil, err
+	}
+	return d, cleanUps.run, nil
+}
+
+// build makes the parts in the order in which they need each other. It adds a
+// clean-up for each that needs one.
+func (d *Daemon) build(cleanUps *cleanUps) error {
+	c := d.config
 	self := identity.Identity{
 		Name: c.Name, Centre: c.Centre, Incarnation: uint64(time.Now().UnixNano()), Seat: seatOf(c),
 	}
+	metrics, closeMetrics, err := exporter.New(d.log)
+	if err != nil {
+		return err
+	}
+	cleanUps.add(closeMetrics)
+	scope := metrics.Scope()
 	source, closeSource := reader.New(c.Platform)
+	cleanUps.add(closeSource)
 	endpoints, closeEndpoints := client.New()
-	var closeMesh func()
-	d.mesh, closeMesh = mesh.New(self, nil, d.log)
-	d.roster = roster.New(source, d.log)
-	d.members = membership.New(c.Name)
-	d.mesh.Observe(d.members)
-	d.roster.Watch(d.members.Update)
-	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
-
+	cleanUps.add(closeEndpoints)
+	if err := d.buildPeers(self, source, cleanUps); err != nil {
+		return err
+	}
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
-	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
+	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, scope)
 	budget := retry.New()
 	d.limits = keeper.New(self.Seat)
-	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope)
+	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, scope)
 	d.desk = d.newDesk(self)
-	d.callers = &http.Server{
-		Handler: d.counted(caller.New(
-			d.tables,
-			runner.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope),
-			d.relay,
-			d.limits,
-			d.desk,
-			c.Bounds.Body,
-			d.log,
-		)),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    mostHeader,
-	}
-	d.operator = &http.Server{Handler: operator.New(d.status), ReadHeaderTimeout: headerTimeout}
-	cleanUp := func() {
-		d.callers.Close()
-		d.operator.Close()
-		if d.peerListener != nil {
-			d.peerListener.Close()
-		}
-		closeMesh()
-		closeEndpoints()
-		closeSource()
+	run := runner.New(d.tables, dispatch, endpoints, budget, d.log, scope)
+	d.callers = newServer(d.counted(caller.New(d.tables, run, d.relay, d.limits, d.desk, c.Bounds.Body, d.log)))
+	cleanUps.add(func() { d.callers.Close() })
+	access, err := accessOf(c.Operator)
+	if err != nil {
+		return err
 	}
-	if err := d.listen(); err != nil {
-		cleanUp()
-		return nil, nil, err
+	d.operator = newServer(operator.New(d.status, metrics.Handler(), access))
+	cleanUps.add(func() { d.operator.Close() })
+	return d.listen(cleanUps)
+}
+
+// buildPeers makes what follows the platform and the other daemons.
+func (d *Daemon) buildPeers(self identity.Identity, source reader.Source, cleanUps *cleanUps) error {
+	config, err := d.peerTLS()
+	if err != nil {
+		return err
 	}
-	return d, cleanUp, nil
+	var closeMesh func()
+	d.mesh, closeMesh = mesh.New(self, config, d.log)
+	cleanUps.add(closeMesh)
+	d.roster = roster.New(source, d.log)
+	d.members = membership.New(self.Name)
+	d.mesh.Observe(d.members)
+	d.roster.Watch(d.members.Update)
+	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
+	return nil
 }
 
 func seatOf(c config.Config) int {
@@ -126,34 +130,6 @@
 	return *c.Seat
 }
 
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		name    string
-		address string
-		into    *net.Listener
-	}{
-		{"caller", d.config.Caller.Address, &d.callerListener},
-		{"peer", d.config.Peer.Address, &d.peerListener},
-		{"operator", d.config.Operator.Address, &d.operatorListener},
-	} {
-		open, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return fmt.Errorf("opening %s listener: %w", l.name, err)
-		}
-		*l.into = open
-	}
-	return nil
-}
-
-// CallerAddress returns the address on which callers are served.
-func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
-
-// PeerAddress returns the address on which peers are served.
-func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
-
-// OperatorAddress returns the address on which operators are served.
-func (d *Daemon) OperatorAddress() string { return d.operatorListener.Addr().String() }
-
 // Run serves until ctx ends or a listener fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -161,9 +137,9 @@
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
 	failed := make(chan error, 3)
-	go func() { failed <- d.callers.Serve(d.callerListener) }()
-	go func() { failed <- d.operator.Serve(d.operatorListener) }()
-	go func() { failed <- d.mesh.Serve(ctx, d.peerListener) }()
+	go func() { failed <- d.callers.Serve(d.listeners.caller) }()
+	go func() { failed <- d.operator.Serve(d.listeners.operator) }()
+	go func() { failed <- d.mesh.Serve(ctx, d.listeners.peer) }()
 	d.log.Info("serving", "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress())
 	select {
 	case err := <-failed:
@@ -178,27 +154,3 @@
 
 // CutPeers closes all peer sessions, as a failing network would.
 func (d *Daemon) CutPeers() { d.mesh.Cut() }
-
-func (d *Daemon) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.flights.Add(1)
-		defer d.flights.Add(-1)
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
-func (d *Daemon) status() operator.Status {
-	epoch, version := d.tables.Pair()
-	return operator.Status{
-		Name:    d.config.Name,
-		Centre:  d.config.Centre,
-		Ready:   d.tables.Current() != nil && !d.stopping.Load(),
-		Epoch:   epoch,
-		Version: version,
-		Refusal: d.feed.Refusal(),
-		Flights: d.flights.Load(),
-	}
-}
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -1,44 +1,54 @@
 // Package operator serves the operators' interface: health, readiness, status and metrics.
 package operator
 
-// This file defines Server.
+// This file defines Server and its routes.
 
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/go-chi/chi/v5"
-)
 
-// Status is what an instance says of itself.
-type Status struct {
-	Name    string `json:"name"`
-	Centre  string `json:"centre"`
-	Ready   bool   `json:"ready"`
-	Epoch   uint64 `json:"epoch"`
-	Version uint64 `json:"version"`
-	Refusal string `json:"refusal,omitempty"` // why the last table was refused
-	Flights int64  `json:"flights"`           // requests in flight
-}
+	"github.com/jacinthstile/jacinthstile/internal/secure/secret"
+)
 
-// Server answers operators.
+// Server answers operators. Health and readiness are open to the platform's
+// balancer; all else asks for the operators' token, where one is set.
 type Server struct {
 	status func() Status
+	access *secret.Secret // nil for none
 	router chi.Router
 }
 
-// New returns a server that reports what status returns.
-func New(status func() Status) *Server {
-	s := &Server{status: status, router: chi.NewRouter()}
+// New returns a server that reports what status returns and serves metrics.
+func New(status func() Status, metrics http.Handler, access *secret.Secret) *Server {
+	s := &Server{status: status, access: access, router: chi.NewRouter()}
 	s.router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.router.Get("/readyz", s.ready)
-	s.router.Get("/v1/status", s.report)
+	s.router.Group(func(r chi.Router) {
+		r.Use(s.guard)
+		r.Get("/v1/status", s.report)
+		r.Method(http.MethodGet, "/metrics", metrics)
+	})
 	return s
 }
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
+// guard refuses requests without the operators' token.
+func (s *Server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if s.access != nil && !s.access.Matches(token) {
+			http.Error(w, "want header Authorization: Bearer TOKEN", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if !s.status().Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/secure/keypair/keypair_test.go
+++ b/internal/peer/credential/credential_test.go
@@ -1,4 +1,4 @@
-package keypair_test
+package credential_test
 
 // This file checks verification, refusal and rereading of keys.
 
@@ -14,12 +14,16 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 
-	"github.com/jacinthstile/jacinthstile/internal/secure/keypair"
+	"github.com/jacinthstile/jacinthstile/internal/peer/credential"
 )
 
 // authority signs test certificates.
@@ -64,9 +68,9 @@
 	return save("cert.pem", "CERTIFICATE", der), save("key.pem", "PRIVATE KEY", raw), save("ca.pem", "CERTIFICATE", a.cert.Raw)
 }
 
-func load(t *testing.T, g Gomega, a *authority) *keypair.Keypair {
+func load(t *testing.T, g Gomega, a *authority) *credential.Credential {
 	cert, key, ca := a.write(g, t.TempDir(), 2)
-	k, err := keypair.New(cert, key, ca, func(err error) { t.Errorf("unexpected report: %v", err) })
+	k, err := credential.New(credential.Files{Cert: cert, Key: key, CA: ca}, logr.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
 	return k
 }
@@ -117,7 +121,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			_, err := handshake(load(t, g, c.server).Server(), load(t, g, c.client).Client())
+			_, err := handshake(load(t, g, c.server).Config(), load(t, g, c.client).Config())
 			g.Expect(err == nil).To(Equal(c.want), "%v", err)
 		})
 	}
@@ -128,12 +132,17 @@
 	a := newAuthority(g)
 	dir := t.TempDir()
 	cert, key, ca := a.write(g, dir, 10)
-	reports := make(chan error, 100)
-	server, err := keypair.New(cert, key, ca, func(err error) { reports <- err })
+	var reports atomic.Int64
+	log := funcr.New(func(_, args string) {
+		if strings.Contains(args, "not reread") {
+			reports.Add(1)
+		}
+	}, funcr.Options{})
+	server, err := credential.New(credential.Files{Cert: cert, Key: key, CA: ca}, log)
 	g.Expect(err).NotTo(HaveOccurred())
 	client := load(t, g, a)
 	serial := func() int64 {
-		n, err := handshake(server.Server(), client.Client())
+		n, err := handshake(server.Config(), client.Config())
 		g.Expect(err).NotTo(HaveOccurred())
 		return n
 	}
@@ -145,9 +154,9 @@
 	g.Eventually(serial, 3*time.Second, 100*time.Millisecond).Should(Equal(int64(11)))
 
 	g.Expect(os.WriteFile(cert, []byte("not a certificate"), 0o600)).To(Succeed())
-	g.Eventually(func() int {
+	g.Eventually(func() int64 {
 		serial()
-		return len(reports)
+		return reports.Load()
 	}, 3*time.Second, 100*time.Millisecond).Should(BeNumerically(">", 0))
 	g.Expect(serial()).To(Equal(int64(11)), "the last good keys stay in use")
 }
--- /dev/null
+++ b/internal/settings/config/config_test.go
@@ -0,0 +1,57 @@
+package config_test
+
+// This file checks that bad settings are refused with every value at fault.
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/examples"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/internal/table/problem"
+)
+
+// badCase is a settings file and what must be said of it.
+type badCase struct {
+	Name     string          `json:"name"`
+	Settings json.RawMessage `json:"settings"`
+	Problems problem.List    `json:"problems"` // empty where the file cannot be parsed
+	Text     string          `json:"text"`     // part of the error, for those
+}
+
+func TestBadSettings(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("testdata", "bad.json"))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	var cases []badCase
+	NewWithT(t).Expect(json.Unmarshal(data, &cases)).To(Succeed())
+	NewWithT(t).Expect(len(cases)).To(BeNumerically(">=", 10))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := config.Parse(c.Settings)
+			g.Expect(err).To(HaveOccurred())
+			if len(c.Problems) == 0 {
+				g.Expect(err.Error()).To(ContainSubstring(c.Text))
+				return
+			}
+			var list problem.List
+			g.Expect(errors.As(err, &list)).To(BeTrue(), "%v", err)
+			g.Expect(list).To(Equal(c.Problems))
+		})
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"serikelang", "slamka"} {
+		g := NewWithT(t)
+		data, err := examples.Files.ReadFile(name + "/settings.json")
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = config.Parse(data)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
