--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -119,7 +119,7 @@
 	d.members = membership.New(self.Name)
 	d.mesh.Observe(d.members)
 	d.roster.Watch(d.members.Update)
-	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
+	d.feed = feed.New(source, d.mesh, d.members, d.tables, d.config.Bounds.Start.Duration(), d.log)
 	return nil
 }
 
--- a/internal/entry/daemon/status.go
+++ b/internal/entry/daemon/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
 )
@@ -22,15 +23,27 @@
 
 func (d *Daemon) status() operator.Status {
 	epoch, version := d.tables.Pair()
+	platform, peers := d.feed.Heard()
 	return operator.Status{
 		Name:     d.config.Name,
 		Centre:   d.config.Centre,
-		Ready:    d.tables.Current() != nil && !d.stopping.Load(),
+		Ready:    d.feed.Ready() && !d.stopping.Load(),
 		Stopping: d.stopping.Load(),
 		Epoch:    epoch,
 		Version:  version,
 		Refusal:  d.feed.Refusal(),
+		Conflict: d.feed.Conflict(),
+		Platform: ageOf(platform),
+		Peers:    ageOf(peers),
 		Flights:  d.flights.Load(),
 		Tickets:  d.desk.Unused() + d.desk.Running(),
 	}
 }
+
+// ageOf returns the seconds since t, or -1 for the zero time.
+func ageOf(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Seconds()
+}
