Refuse cancellations once the client is closing

Cause: an attempt that lost its race may end after the close; its cancellation was added to a wait group that the close was already waiting for, which the race detector reported in TestStalledStreamMovesToAnotherEngine. Ruled out: the test's logger, which discards. Change: a closed flag and the count stand under one lock.

--- a/internal/endpoint/client/cancel.go
+++ b/internal/endpoint/client/cancel.go
@@ -21,13 +21,7 @@
 // not matter, and it is left out when too many are under way. The closing of
 // the call's own connection tells the endpoint the same.
 func (c *Client) Cancel(address string, q call.Call) {
-	select {
-	case c.cancels <- struct{}{}:
-	default:
-		return
-	}
-	c.running.Go(func() {
-		defer func() { <-c.cancels }()
+	c.begin(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		url := "http://" + address + "/v1/stages/" + q.Request + "/" + q.Stage + "/" + strconv.Itoa(q.Attempt)
@@ -37,3 +31,33 @@
 		}
 	})
 }
+
+// begin runs f in the background, unless the client is closed or busy with as
+// many as it may be. An attempt that lost its race may end after the close.
+func (c *Client) begin(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.cancels >= mostCancels {
+		return
+	}
+	c.cancels++
+	c.running.Go(func() {
+		defer c.end()
+		f()
+	})
+}
+
+func (c *Client) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancels--
+}
+
+// close refuses further cancellations and waits for those under way.
+func (c *Client) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.running.Wait()
+	c.pooled.CloseIdleConnections()
+}
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -36,26 +36,22 @@
 // Client sends calls over pooled connections, and calls that may be sent only
 // once over a connection of their own.
 type Client struct {
-	pooled  *http.Transport
-	single  *http.Transport
-	cancels chan struct{} // one element for each cancellation under way
-	running sync.WaitGroup
+	pooled *http.Transport
+	single *http.Transport
+
+	running sync.WaitGroup // cancellations under way
+	mu      sync.Mutex
+	cancels int // how many are under way
+	closed  bool
 }
 
 // New returns a client and a function that closes its idle connections and
 // waits for its cancellations.
 func New() (*Client, func()) {
-	c := &Client{
-		pooled:  newTransport(),
-		single:  newTransport(),
-		cancels: make(chan struct{}, mostCancels),
-	}
+	c := &Client{pooled: newTransport(), single: newTransport()}
 	// net/http repeats a request by itself only on a reused connection.
 	c.single.DisableKeepAlives = true
-	return c, func() {
-		c.running.Wait()
-		c.pooled.CloseIdleConnections()
-	}
+	return c, c.close
 }
 
 func newTransport() *http.Transport {
