Give the tests of slow endpoints a second instead of a fifth of one

Cause: on a machine with 22 runnable threads a call that takes 40 ms took over 200 ms and counted as late. Change: the caller waits 1 s, and the late answer comes after 2 s, so that the same order of events holds with five times the margin.

--- a/internal/standin/trouble/trouble_test.go
+++ b/internal/standin/trouble/trouble_test.go
@@ -36,7 +36,7 @@
 		{trouble.Fault{Kind: trouble.Slow}, 0, 0, 1},
 		{trouble.Fault{Kind: trouble.Errored}, failure.Errored, failure.Errored, 1},
 		{trouble.Fault{Kind: trouble.Refused}, failure.Refused, failure.Refused, 0},
-		{trouble.Fault{Kind: trouble.Late, Delay: 400 * time.Millisecond}, failure.Late, failure.Late, 1},
+		{trouble.Fault{Kind: trouble.Late, Delay: 2 * time.Second}, failure.Late, failure.Late, 1},
 		{trouble.Fault{Kind: trouble.Swapped}, failure.Foreign, failure.Foreign, 1},
 		{trouble.Fault{Kind: trouble.Cut, At: 2}, failure.Lost, failure.Lost, 1},
 		{trouble.Fault{Kind: trouble.Short, At: 2}, failure.Lost, failure.Lost, 1},
@@ -68,11 +68,11 @@
 	defer s.Close()
 	c, closeClient := client.New()
 	defer closeClient()
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	var text strings.Builder
 	_, err := c.Do(ctx, strings.TrimPrefix(s.URL, "http://"), call.Call{
-		Request: "r", Stage: "s", Attempt: 1, Prompt: "prompt", Tokens: tokens, Deadline: time.Now().Add(time.Second),
+		Request: "r", Stage: "s", Attempt: 1, Prompt: "prompt", Tokens: tokens, Deadline: time.Now().Add(3 * time.Second),
 	}, func(k call.Token) error { text.WriteString(k.Text); return nil })
 	if err == nil {
 		return 0, text.String()
