Keep account limits by seats and loans, never past a cap

Cause: each seat held a fixed share, so that a cap below the number of instances was unusable from most of them, and a restart forgot its calls.

Change: a unit of a limit belongs to a seat by a hash of account, unit and seat count (internal/limit/seating). gate says when a process may use its seat: after a quiet period, while a witness among the other seats answers and knows of no later process there, and for units that moved with the seat count once the seat that had them follows the new table. share counts use and loans; keeper lends over kind.LimitTake and LimitGive. The holder subtracts first and takes back only after the borrower's deadline and a margin.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -147,6 +147,7 @@
 	c.Seat = &i
 	c.Platform = "http://" + f.address
 	c.Caller.Address, c.Peer.Address, c.Operator.Address = loopback, loopback, loopback
+	c.Bounds.Quiet = 0
 	c.Bounds.Drain = span.Span(300 * time.Millisecond)
 	d, closeDaemon, err := daemon.New(c, f.log)
 	if err != nil {
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	give, err := s.limits.Take(r.Context(), v.account, v.table.Policy.Seats)
+	give, err := s.limits.Take(r.Context(), v.account, j.Deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/caller/pipeline.go
+++ b/internal/entry/caller/pipeline.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	give, err := s.limits.Take(r.Context(), v.account, v.table.Policy.Seats)
+	give, err := s.limits.Take(r.Context(), v.account, deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -90,7 +90,7 @@
 	if !o.Idempotent && ticket != "" {
 		return s.desk.Run(ctx, ticket, o)
 	}
-	give, err := s.limits.Take(ctx, v.account, v.table.Policy.Seats)
+	give, err := s.limits.Take(ctx, v.account, o.Call.Deadline)
 	if err != nil {
 		return client.Reply{}, err
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -80,7 +80,7 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
-	d.limits = keeper.New(self.Seat)
+	d.limits = d.newKeeper(self)
 	d.relay = relay.New(d.tables, pick, stats, endpoints, d.log)
 	d.desk = d.newDesk(self)
 	d.callers = &http.Server{
@@ -155,6 +155,7 @@
 	defer cancel()
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
+	go d.limits.Run(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.callerListener) }()
 	go func() { failed <- d.operator.Serve(d.operatorListener) }()
--- a/internal/entry/daemon/order.go
+++ b/internal/entry/daemon/order.go
@@ -1,12 +1,13 @@
 package daemon
 
-// This file wires the tickets.
+// This file wires the tickets and the limits.
 
 import (
 	"context"
 
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -28,6 +29,13 @@
 	return k
 }
 
+func (d *Daemon) newKeeper(self identity.Identity) *keeper.Keeper {
+	k := keeper.New(self, d.config.Bounds.Quiet.Duration(), d.tables, d.mesh, d.members.FindSeat, d.log)
+	d.mesh.Handle(kind.LimitTake, k.AnswerTake)
+	d.mesh.Handle(kind.LimitGive, k.AnswerGive)
+	return k
+}
+
 // runOrder runs a call under a ticket and counts it against its account's limits.
 func (d *Daemon) runOrder(ctx context.Context, o relay.Order) (client.Reply, error) {
 	table := d.tables.Current()
@@ -38,7 +46,7 @@
 	if row == nil {
 		return client.Reply{}, fault.New(code.UnknownAccount, "account %s has left the table", o.Account)
 	}
-	give, err := d.limits.Take(ctx, row, table.Policy.Seats)
+	give, err := d.limits.Take(ctx, row, o.Call.Deadline)
 	if err != nil {
 		return client.Reply{}, err
 	}
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	d.log.Info("stopping: idle", "forgotten", d.desk.Unused())
+	d.limits.Wait()
 	wait(ctx, flushWait)
 	return ctx.Err()
 }
--- /dev/null
+++ b/internal/limit/gate/gate.go
@@ -0,0 +1,118 @@
+// Package gate decides which units of its seat a process may use. It has no
+// goroutines and no clock.
+package gate
+
+// This file defines Gate and when it is open.
+
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/limit/seating"
+)
+
+// Rules are the periods that keep two processes from using one unit.
+type Rules struct {
+	Quiet   time.Duration // from the start of a process until it uses its seat; zero for the first of a fleet
+	Longest time.Duration // longest that an admitted request may run
+}
+
+// Gate is the state of one process that has a seat.
+type Gate struct {
+	seat        int
+	incarnation uint64
+	start       time.Time
+	rules       Rules
+
+	seats    int // in the table in force; zero before the first
+	epoch    uint64
+	version  uint64
+	contact  time.Time // when the last witness that answered was asked
+	replaced bool
+	isOpened bool     // the quiet period is over
+	shifts   []*shift // changes of the seat count whose units still rest
+	changes  uint64
+}
+
+// New returns the gate of a process that starts now. A seat below zero is none.
+func New(seat int, incarnation uint64, now time.Time) *Gate {
+	return &Gate{seat: seat, incarnation: incarnation, start: now}
+}
+
+// Adopt takes over a table: its seat count and the rules that follow from it.
+func (g *Gate) Adopt(seats int, epoch, version uint64, r Rules, now time.Time) {
+	if g.seats != 0 && g.seats != seats {
+		g.shifts = append(g.shifts, newShift(g.seats, g.seat, epoch, version))
+	}
+	if g.seats == 0 {
+		g.contact = now
+	}
+	r.Longest = max(r.Longest, g.rules.Longest) // earlier requests may still run
+	g.seats, g.epoch, g.version, g.rules = seats, epoch, version, r
+	g.changes++
+}
+
+// Open reports whether the seat may be used at all.
+func (g *Gate) Open(now time.Time) bool {
+	switch {
+	case g.seat < 0 || g.seat >= g.seats || g.replaced:
+		return false
+	case within(g.start, g.rules.Quiet, now):
+		return false
+	}
+	g.isOpened = true
+	return g.seats == 1 || within(g.contact, g.isolated(), now)
+}
+
+// isolated returns how long the seat is used after the last answer of a
+// witness: so long that all admitted by then has ended before a replacement
+// uses the seat.
+func (g *Gate) isolated() time.Duration {
+	if g.rules.Quiet == 0 {
+		return g.rules.Longest
+	}
+	return g.rules.Quiet - g.rules.Longest
+}
+
+// within reports whether less than d passed since t by both clocks, the
+// monotonic and the wall clock, as either stands still in some kinds of pause.
+func within(t time.Time, d time.Duration, now time.Time) bool {
+	return now.Sub(t) < d && now.Round(0).Sub(t.Round(0)) < d
+}
+
+// Met takes in that a witness, asked at the given time, knows of an incarnation
+// in this process's own seat. A later one than its own has replaced it.
+func (g *Gate) Met(newest uint64, asked time.Time) {
+	if newest > g.incarnation {
+		g.replaced = true
+		return
+	}
+	if asked.After(g.contact) {
+		g.contact = asked
+	}
+}
+
+// Replaced reports whether a later process has this seat.
+func (g *Gate) Replaced() bool { return g.replaced }
+
+// Units returns how many of an account's first units this seat may use, once it is open.
+func (g *Gate) Units(account string, units int) int {
+	n := 0
+	for k := range units {
+		if seating.Owner(account, k, g.seats) == g.seat && g.hasRested(account, k) {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gate) hasRested(account string, k int) bool {
+	for _, s := range g.shifts {
+		if !s.released[seating.Owner(account, k, s.seats)] {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes rises with each change of what Units returns.
+func (g *Gate) Changes() uint64 { return g.changes }
--- a/internal/limit/keeper/keeper.go
+++ b/internal/limit/keeper/keeper.go
@@ -1,80 +1,159 @@
 // Package keeper holds client accounts to their rate and their cap of requests
-// in flight over the whole fleet.
+// in flight over the whole fleet. The units of a limit belong to seats; a
+// process without a free unit of its own borrows one from the holder of another
+// seat. docs/design/limits.md says why no cap is passed.
 package keeper
 
-// This file defines Keeper.
+// This file defines Keeper and what callers ask of it.
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"time"
 
-	"golang.org/x/time/rate"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/limit/gate"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
 
-// Keeper gives this instance's fixed share of each account's limits.
-type Keeper struct {
-	seat int // -1 for none
+const (
+	slack      = time.Second     // a request may end this long after its deadline
+	margin     = 2 * time.Second // for clocks of different rate, and for a table on its way
+	retryAfter = time.Second     // told to callers that met a limit
+)
 
-	mu       sync.Mutex
-	accounts map[string]*usage
+// Caller sends calls to peers, as *mesh.Mesh does.
+type Caller interface {
+	Call(ctx context.Context, address string, k kind.Kind, in, out proto.Message) (identity.Identity, error)
 }
 
-type usage struct {
-	inFlight int
-	limiter  *rate.Limiter
-	rate     float64
+// Finder returns the peer address of the holder of a seat, and false where none is known.
+type Finder func(seat int) (address string, ok bool)
+
+// Keeper is one process's part in keeping the limits.
+type Keeper struct {
+	self   identity.Identity
+	quiet  time.Duration
+	tables *holder.Holder
+	peers  Caller
+	find   Finder
+	log    logr.Logger
+	start  time.Time
+	gives  sync.WaitGroup // permits on their way back
+
+	mu     sync.Mutex
+	gate   *gate.Gate
+	newest map[int]uint64 // latest incarnation known, by seat
+	open   bool           // as last logged
+
+	shards [shards]shard
 }
 
-// New returns a keeper for the given seat.
-func New(seat int) *Keeper {
-	return &Keeper{seat: seat, accounts: make(map[string]*usage)}
+// New returns a keeper that uses the seat of self after a quiet period, or
+// after the longest deadline of the table where that is longer. A quiet period
+// of zero is for a fleet that starts with no process before it.
+func New(self identity.Identity, quiet time.Duration, t *holder.Holder, peers Caller, find Finder, log logr.Logger) *Keeper {
+	now := time.Now()
+	k := &Keeper{
+		self: self, quiet: quiet, tables: t, peers: peers, find: find, log: log, start: now,
+		gate:   gate.New(self.Seat, self.Incarnation, now),
+		newest: make(map[int]uint64),
+	}
+	for i := range k.shards {
+		k.shards[i].accounts = make(map[string]*standing)
+	}
+	t.Watch(k.adopt)
+	return k
 }
 
-// Take counts a request of the account as in flight until give is called.
-// The error is a *fault.Fault of class "not run".
-func (k *Keeper) Take(_ context.Context, a *account.Account, seats int) (give func(), err error) {
+func (k *Keeper) adopt(s *sheet.Sheet) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	u := k.usage(a, seats)
-	if a.Cap > 0 && u.inFlight >= share(a.Cap, k.seat, seats) {
-		return nil, fault.New(code.CapReached, "account %s", a.Name)
+	k.gate.Adopt(s.Policy.Seats, s.Epoch, s.Version, rulesOf(s, k.quiet), time.Now())
+}
+
+// rulesOf derives the periods from the longest deadline of a table.
+func rulesOf(s *sheet.Sheet, quiet time.Duration) gate.Rules {
+	var longest time.Duration
+	for _, p := range s.Pipelines {
+		longest = max(longest, p.Deadline.Duration())
 	}
-	if a.Rate > 0 && !u.limiter.Allow() {
-		return nil, fault.New(code.RateLimited, "account %s", a.Name)
+	for _, v := range s.Services {
+		longest = max(longest, v.Deadline.Duration())
 	}
-	u.inFlight++
-	return sync.OnceFunc(func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		u.inFlight--
-	}), nil
+	longest += slack + margin
+	if quiet > 0 {
+		quiet = max(quiet, longest+2*probeEvery)
+	}
+	return gate.Rules{Quiet: quiet, Longest: longest}
+}
+
+// Take counts a request of the account as in flight until give is called. The
+// request must have ended at its deadline. The error is a *fault.Fault of
+// class "not run".
+func (k *Keeper) Take(ctx context.Context, a *account.Account, deadline time.Time) (give func(), err error) {
+	if row := k.row(a.Name); row != nil {
+		a = row
+	}
+	give = func() {}
+	if a.Cap > 0 {
+		if give, err = k.takeUnit(ctx, a, deadline); err != nil {
+			return nil, err
+		}
+	}
+	if a.Rate > 0 {
+		if err := k.takeToken(ctx, a, deadline); err != nil {
+			give()
+			return nil, err
+		}
+	}
+	return give, nil
 }
 
-func (k *Keeper) usage(a *account.Account, seats int) *usage {
-	u := k.accounts[a.Name]
-	if u == nil {
-		u = &usage{limiter: rate.NewLimiter(0, 1)}
-		k.accounts[a.Name] = u
+func (k *Keeper) takeUnit(ctx context.Context, a *account.Account, deadline time.Time) (func(), error) {
+	if k.takeOwn(a.Name, time.Now()) {
+		return sync.OnceFunc(func() { k.giveOwn(a.Name) }), nil
 	}
-	if want := a.Rate / float64(seats); u.rate != want {
-		u.rate = want
-		u.limiter.SetLimit(rate.Limit(want))
+	permit := rand.Uint64()
+	l := &loan{keeper: k, account: a.Name, permit: permit, deadline: deadline}
+	address, refusal := l.borrow(ctx)
+	if address == "" {
+		return nil, faultOf(refusal, code.CapReached, a.Name)
 	}
-	return u
+	return sync.OnceFunc(func() { k.giveBack(address, a.Name, permit) }), nil
 }
 
-// share returns the part of cap that a seat holds; the parts of all seats add up to cap.
-func share(limit, seat, seats int) int {
-	if seat < 0 || seat >= seats {
-		return 0
+func (k *Keeper) takeToken(ctx context.Context, a *account.Account, deadline time.Time) error {
+	if k.drawOwn(a.Name, time.Now()) {
+		return nil
 	}
-	n := limit / seats
-	if seat < limit%seats {
-		n++
+	l := &loan{keeper: k, account: a.Name, permit: rand.Uint64(), deadline: deadline, token: true}
+	if address, refusal := l.borrow(ctx); address == "" {
+		return faultOf(refusal, code.RateLimited, a.Name)
 	}
-	return n
+	return nil
 }
+
+// faultOf says that a limit is met, or that it is in doubt where some holder
+// that may have had room was not asked or could not lend.
+func faultOf(r refusal, met code.Code, account string) error {
+	f := fault.New(met, "account %s", account)
+	if r.doubt != "" {
+		f = fault.New(code.LimitUnavailable, "account %s: %s", account, r.doubt)
+	}
+	f.After = retryAfter
+	return f
+}
+
+// Wait returns when the permits that were borrowed here have been given back,
+// or have been lost on the way and will expire.
+func (k *Keeper) Wait() { k.gives.Wait() }
--- /dev/null
+++ b/internal/limit/keeper/serve.go
@@ -0,0 +1,105 @@
+package keeper
+
+// This file lends units to peers.
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jacinthstile/jacinthstile/internal/limit/limitpb"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+)
+
+// AnswerTake handles kind.LimitTake.
+func (k *Keeper) AnswerTake(_ context.Context, from identity.Identity, body []byte) ([]byte, error) {
+	var q limitpb.Take
+	if err := proto.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	epoch, version := k.tables.Pair()
+	out := &limitpb.Taken{Epoch: epoch, Version: version, Newest: k.meet(from)}
+	if q.Account != "" {
+		out.Verdict = k.lend(&q, now)
+	} else {
+		out.Shifts = k.shifts()
+	}
+	return proto.Marshal(out)
+}
+
+// meet notes who holds a seat and returns the latest incarnation known for it.
+func (k *Keeper) meet(from identity.Identity) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if from.Seat < 0 {
+		return 0
+	}
+	newest := max(k.newest[from.Seat], from.Incarnation)
+	if from.Seat == k.self.Seat {
+		newest = max(newest, k.self.Incarnation)
+		k.gate.Met(newest, time.Time{})
+	}
+	k.newest[from.Seat] = newest
+	return newest
+}
+
+func (k *Keeper) shifts() []*limitpb.Shift {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []*limitpb.Shift
+	for _, s := range k.gate.Shifts() {
+		out = append(out, &limitpb.Shift{Seats: uint32(s.Seats), Epoch: s.Epoch, Version: s.Version})
+	}
+	return out
+}
+
+// lend subtracts a unit here before the peer may use it, and takes it back by
+// itself only after the peer's permit has expired and a margin has passed.
+func (k *Keeper) lend(q *limitpb.Take, now time.Time) (v limitpb.Verdict) {
+	row := k.row(q.Account)
+	if row == nil {
+		return limitpb.Verdict_VERDICT_NONE
+	}
+	k.locked(q.Account, func(st *standing) {
+		if q.Life == 0 && row.Rate == 0 || q.Life > 0 && row.Cap == 0 {
+			v = limitpb.Verdict_VERDICT_GRANTED // the limit has been lifted
+			return
+		}
+		if q.Life == 0 {
+			drawn, here := k.draw(st, row, now)
+			v = k.verdict(drawn, here, now)
+			return
+		}
+		n, _ := k.here(&st.cap, q.Account, row.Cap, now)
+		until := now.Add(time.Duration(q.Life)*time.Millisecond + margin)
+		v = k.verdict(st.share.Lend(q.Permit, n, until, now), n, now)
+	})
+	return v
+}
+
+func (k *Keeper) verdict(granted bool, here int, now time.Time) limitpb.Verdict {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case !k.gate.Open(now):
+		return limitpb.Verdict_VERDICT_CLOSED
+	case granted:
+		return limitpb.Verdict_VERDICT_GRANTED
+	case here == 0:
+		return limitpb.Verdict_VERDICT_NONE
+	default:
+		return limitpb.Verdict_VERDICT_BUSY
+	}
+}
+
+// AnswerGive handles kind.LimitGive.
+func (k *Keeper) AnswerGive(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+	var q limitpb.Give
+	if err := proto.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	k.locked(q.Account, func(st *standing) { st.share.Return(q.Permit) })
+	return proto.Marshal(new(limitpb.Given))
+}
--- /dev/null
+++ b/internal/limit/share/share.go
@@ -0,0 +1,97 @@
+// Package share counts the use of the units that one seat holds of one
+// account's limits. It has no goroutines and no clock.
+package share
+
+// This file defines Share.
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Share is what is in use here and what is lent to peers.
+type Share struct {
+	own     int
+	lent    map[uint64]time.Time // when the unit is taken back, by permit
+	limiter *rate.Limiter        // nil until the rate is used
+	refill  time.Duration        // from no token to all
+	touched time.Time
+}
+
+// New returns a share of which nothing is in use.
+func New() *Share { return &Share{lent: make(map[uint64]time.Time)} }
+
+// Take uses one of the given number of units, and reports false if none is free.
+func (s *Share) Take(units int, now time.Time) bool {
+	if !s.hasFree(units, now) {
+		return false
+	}
+	s.own++
+	return true
+}
+
+// Give ends what Take began.
+func (s *Share) Give(now time.Time) {
+	s.own--
+	s.touched = now
+}
+
+// Lend gives one of the units to a peer until a time, and reports false if
+// none is free. A permit that is lent already is lent no second time.
+func (s *Share) Lend(permit uint64, units int, until, now time.Time) bool {
+	if _, known := s.lent[permit]; known {
+		return true
+	}
+	if !s.hasFree(units, now) {
+		return false
+	}
+	s.lent[permit] = until
+	return true
+}
+
+// Return takes a lent unit back before its time.
+func (s *Share) Return(permit uint64) { delete(s.lent, permit) }
+
+func (s *Share) hasFree(units int, now time.Time) bool {
+	s.touched = now
+	if s.own+len(s.lent) < units {
+		return true
+	}
+	for permit, until := range s.lent {
+		if !now.Before(until) {
+			delete(s.lent, permit)
+		}
+	}
+	return s.own+len(s.lent) < units
+}
+
+// Draw spends a token of the seat's part of the rate, and reports false if
+// there is none. The part is given in requests a second, with its burst. The
+// tokens start from none at since, the start of the process, as its
+// predecessor may have spent all until then.
+func (s *Share) Draw(part float64, burst int, since, now time.Time) bool {
+	s.touched = now
+	if burst < 1 || part <= 0 {
+		return false
+	}
+	if s.limiter == nil {
+		s.limiter = rate.NewLimiter(rate.Limit(part), burst)
+		s.limiter.AllowN(since, burst)
+	}
+	if s.limiter.Limit() != rate.Limit(part) || s.limiter.Burst() != burst {
+		s.limiter.SetLimitAt(now, rate.Limit(part))
+		s.limiter.SetBurstAt(now, burst)
+	}
+	s.refill = time.Duration(float64(burst) / part * float64(time.Second))
+	return s.limiter.AllowN(now, 1)
+}
+
+// InUse returns how many units are used here and how many are lent.
+func (s *Share) InUse() (own, lent int) { return s.own, len(s.lent) }
+
+// Idle reports whether the share may be dropped: nothing is in use, and it was
+// not touched for so long that its tokens are whole.
+func (s *Share) Idle(now time.Time, after time.Duration) bool {
+	return s.own == 0 && len(s.lent) == 0 && now.Sub(s.touched) >= max(after, s.refill)
+}
--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -29,6 +29,7 @@
 	Name        string
 	Address     string // of its peer listener
 	Centre      string
+	Seat        int       // among the holders of account limits; -1 for none
 	Incarnation uint64    // as last heard directly; 0 for never
 	Listed      bool      // by the platform
 	Leaving     bool      // as the platform says
@@ -89,6 +90,9 @@
 			continue
 		}
 		p.Listed, p.Leaving, p.Centre = true, i.State == instance.Leaving, i.Centre
+		if i.Seat != nil && p.Heard.IsZero() {
+			p.Seat = *i.Seat
+		}
 		moved := p.listed != i.Address
 		p.listed = i.Address
 		if moved && (p.Heard.IsZero() || p.Missed >= suspectAfter) {
@@ -101,7 +105,7 @@
 func (m *Membership) member(name string) *Member {
 	p := m.members[name]
 	if p == nil && len(m.members) < mostPeers {
-		p = &Member{Name: name}
+		p = &Member{Name: name, Seat: -1}
 		m.members[name] = p
 	}
 	return p
@@ -127,6 +131,7 @@
 		return
 	}
 	p.Incarnation, p.Centre, p.Heard, p.Missed = peer.Incarnation, peer.Centre, time.Now(), 0
+	p.Seat = peer.Seat
 	if a, err := netip.ParseAddrPort(address); err == nil && !a.Addr().IsUnspecified() {
 		p.Address = address
 	}
@@ -155,6 +160,26 @@
 	return p.Address, true
 }
 
+// FindSeat returns the address of the peer with a seat. Of several it is the
+// one of the latest incarnation heard, as a list may still name an earlier one.
+func (m *Membership) FindSeat(seat int) (address string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best *Member
+	for _, p := range m.members {
+		if p.Seat != seat || p.Address == "" {
+			continue
+		}
+		if best == nil || p.Incarnation > best.Incarnation {
+			best = p
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.Address, true
+}
+
 // Members returns copies of all members, ordered by name.
 func (m *Membership) Members() []Member {
 	m.mu.Lock()
--- a/internal/platform/instance/instance.go
+++ b/internal/platform/instance/instance.go
@@ -20,6 +20,7 @@
 	Centre  string `json:"centre"`
 	State   string `json:"state"`           // Live or Leaving
 	Entry   bool   `json:"entry,omitempty"` // an entry instance of ours
+	Seat    *int   `json:"seat,omitempty"`  // of an entry instance, as in its settings; nil for none
 }
 
 // List is one version of the platform's list.
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -51,6 +51,7 @@
 	Tickets  int       `json:"tickets"`  // tickets held at once
 	Outcomes int64     `json:"outcomes"` // bytes of replies held for repeats of tickets
 	Conns    int       `json:"conns"`    // caller connections
+	Quiet    span.Span `json:"quiet"`    // from the start until the seat is used; 0s only for the first start of a fleet
 	Drain    span.Span `json:"drain"`    // time for the balancer to notice that the instance is unready
 	Start    span.Span `json:"start"`    // longest wait for the platform and peers at the start
 }
@@ -68,6 +69,7 @@
 			Tickets:  100_000,
 			Outcomes: 8 << 20,
 			Conns:    10_000,
+			Quiet:    span.Span(30 * time.Second),
 			Drain:    span.Span(5 * time.Second),
 			Start:    span.Span(3 * time.Second),
 		},
@@ -153,6 +155,9 @@
 	atLeastOne("tickets", int64(b.Tickets))
 	atLeastOne("outcomes", b.Outcomes)
 	atLeastOne("conns", int64(b.Conns))
+	if b.Quiet < 0 {
+		list.Add("bounds", "quiet", b.Quiet, "0s or more")
+	}
 	if b.Drain < 0 {
 		list.Add("bounds", "drain", b.Drain, "0s or more")
 	}
