--- a/internal/limit/keeper/keeper.go
+++ b/internal/limit/keeper/keeper.go
@@ -50,10 +50,12 @@
 	start  time.Time
 	gives  sync.WaitGroup // permits on their way back
 
-	mu     sync.Mutex
-	gate   *gate.Gate
-	newest map[int]uint64 // latest incarnation known, by seat
-	open   bool           // as last logged
+	mu      sync.Mutex
+	gate    *gate.Gate
+	epoch   uint64 // of the table that the gate follows
+	version uint64
+	newest  map[int]uint64 // latest incarnation known, by seat
+	open    bool           // as last logged
 
 	shards [shards]shard
 }
@@ -72,12 +74,19 @@
 		k.shards[i].accounts = make(map[string]*standing)
 	}
 	t.Watch(k.adopt)
+	if s := t.Current(); s != nil {
+		k.adopt(s)
+	}
 	return k
 }
 
 func (k *Keeper) adopt(s *sheet.Sheet) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if s.Epoch == k.epoch && s.Version == k.version {
+		return
+	}
+	k.epoch, k.version = s.Epoch, s.Version
 	k.gate.Adopt(s.Policy.Seats, s.Epoch, s.Version, rulesOf(s, k.quiet), time.Now())
 }
 
