Let the demo's callers ask another daemon after the killed one

Cause: the demo kills the connections of one daemon; a caller that lost its request could ask the same daemon again over another idle connection that was killed at the same moment, and that was counted as a cut answer. Ruled out: the graceful stop, which had not begun.

Change: the second try passes over the daemon whose connections were killed, as the comment there says. The check itself is unchanged.

--- a/internal/bench/demo/balancer.go
+++ b/internal/bench/demo/balancer.go
@@ -88,13 +88,14 @@
 	}
 }
 
-// pick returns the base URL of the next ready daemon and its number.
-func (b *balancer) pick() (base string, i int) {
+// pick returns the base URL of the next ready daemon and its number. The
+// daemon of number except is passed over; -1 is none.
+func (b *balancer) pick(except int) (base string, i int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for range b.doors {
 		b.next = (b.next + 1) % len(b.doors)
-		if b.doors[b.next].ready {
+		if b.doors[b.next].ready && b.next != except {
 			break
 		}
 	}
--- a/internal/bench/demo/driver.go
+++ b/internal/bench/demo/driver.go
@@ -93,8 +93,9 @@
 func (d *driver) one(ctx context.Context, rng *rand.Rand, n int) {
 	account := d.account(rng)
 	ask := d.request(rng, account, n)
+	killedAt := -1
 	for try := range 2 {
-		base, i := d.balancer.pick()
+		base, i := d.balancer.pick(killedAt)
 		v := visit{Outcome: ask(ctx, base), account: d.table.Accounts[account].Name, daemon: i, repeat: try > 0}
 		d.mu.Lock()
 		killed := try == 0 && (v.Verdict == caller.Cut || v.Verdict == caller.Gone) && d.marks.kicked(v)
@@ -107,6 +108,7 @@
 		if !killed {
 			return
 		}
+		killedAt = i
 	}
 }
 
