--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/jacinthstile/jacinthstile/internal/peer/credential"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
 )
@@ -101,7 +103,10 @@
 	meter := newMeter(raw, &m.bytes)
 	stop := context.AfterFunc(ctx, func() { raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	conn := m.tls.dialed(meter)
+	var conn net.Conn = meter
+	if m.tls != nil {
+		conn = tls.Client(meter, m.tls)
+	}
 	mux, err := yamux.Client(conn, muxConfig())
 	if err != nil {
 		raw.Close()
@@ -138,8 +143,10 @@
 	if err := read(stream, &h); err != nil {
 		return "", fmt.Errorf("reading hello: %w", err)
 	}
-	if err := checkName(conn, h.Name); err != nil {
-		return "", err
+	if c, ok := conn.(*tls.Conn); ok {
+		if err := credential.CheckName(c.ConnectionState(), h.Name); err != nil {
+			return "", err
+		}
 	}
 	s.peer = identity.Identity{
 		Name:        h.Name,
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"sync"
 	"time"
@@ -50,7 +51,7 @@
 // Mesh holds the sessions of one daemon.
 type Mesh struct {
 	self    identity.Identity
-	tls     *TLS // nil for plain TCP
+	tls     *tls.Config // nil for plain TCP
 	log     logr.Logger
 	bytes   traffic
 	dials   singleflight.Group
@@ -68,14 +69,15 @@
 }
 
 // New returns a mesh without sessions, and a function that closes them all.
-// A nil security gives sessions over plain TCP.
-func New(self identity.Identity, security *TLS, log logr.Logger) (*Mesh, func()) {
+// The TLS configuration serves both sides of a session, see package credential;
+// nil gives plain TCP.
+func New(self identity.Identity, config *tls.Config, log logr.Logger) (*Mesh, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		ctx:      ctx,
 		inbound:  make(map[string]*session),
 		self:     self,
-		tls:      security,
+		tls:      config,
 		log:      log,
 		handled:  make(chan struct{}, mostHandled),
 		handlers: make(map[kind.Kind]Handler),
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -43,7 +44,10 @@
 
 func (m *Mesh) accept(ctx context.Context, raw net.Conn) {
 	meter := newMeter(raw, &m.bytes)
-	conn := m.tls.accepted(meter)
+	var conn net.Conn = meter
+	if m.tls != nil {
+		conn = tls.Server(meter, m.tls)
+	}
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
 		raw.Close()
