--- /dev/null
+++ b/internal/peer/mesh/fuzz_test.go
@@ -0,0 +1,61 @@
+package mesh_test
+
+// This file fuzzes what a peer sends.
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
+	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
+)
+
+// FuzzAccept checks that no bytes from a connection stop a mesh from serving.
+func FuzzAccept(f *testing.F) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	m, closeMesh := mesh.New(identity.Identity{Name: "served", Incarnation: 1, Seat: -1}, nil, logr.Discard())
+	m.Handle(kind.Pulse, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) { return body, nil })
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		m.Serve(context.Background(), l)
+	}()
+	asker, closeAsker := mesh.New(identity.Identity{Name: "asker", Incarnation: 2, Seat: -1}, nil, logr.Discard())
+	f.Cleanup(func() {
+		closeAsker()
+		l.Close()
+		closeMesh()
+		<-served
+	})
+	// A yamux header opens stream 1 with so many bytes of data.
+	frame := func(n byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1, 0, 0, 0, n} }
+	f.Add(append(frame(3), 2, 10, 0))
+	f.Add(append(frame(5), 4, 0xff, 0xff, 0xff, 0xff))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte{0, 2, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(time.Second))
+		conn.Write(data)
+		conn.Close()
+		var out peerpb.Pulse
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if _, err := asker.Call(ctx, l.Addr().String(), kind.Pulse, &peerpb.Pulse{Version: 3}, &out); err != nil || out.Version != 3 {
+			t.Errorf("calling after %x: got version %d, %v", data, out.Version, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/table/manifest/fuzz_test.go
@@ -0,0 +1,72 @@
+package manifest_test
+
+// This file fuzzes what is published: manifests, groups and parts.
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/jacinthstile/jacinthstile/examples"
+	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/table/store"
+)
+
+// FuzzJoin checks that published bytes either make a table that is valid as a
+// whole or are refused, whichever of the three layers they stand in.
+func FuzzJoin(f *testing.F) {
+	data, err := examples.Files.ReadFile("slamka/table.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	s, err := sheet.Parse(data)
+	if err != nil {
+		f.Fatal(err)
+	}
+	m, objects, err := manifest.Pack(s)
+	if err != nil {
+		f.Fatal(err)
+	}
+	whole, err := json.Marshal(m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole, []byte(`{"parts":[]}`), data)
+	for _, object := range objects {
+		f.Add([]byte(`{"epoch":1,"version":2,"groups":["%s"]}`), []byte(`{"parts":["%s"]}`), object)
+	}
+	f.Fuzz(func(t *testing.T, first, group, part []byte) {
+		held := store.New()
+		put := func(data []byte) string {
+			digest := store.Digest(data)
+			if err := held.Put(digest, data); err != nil {
+				t.Fatalf("storing under its own digest: %v", err)
+			}
+			return digest
+		}
+		group = fill(group, put(part))
+		m, err := manifest.Parse(fill(first, put(group)))
+		if err != nil {
+			return
+		}
+		table, err := m.Join(held, nil)
+		if err != nil {
+			return
+		}
+		if table.Policy == nil || table.Revision() != m.Revision() {
+			t.Errorf("got table %v with policy %v, want %v with one", table.Revision(), table.Policy, m.Revision())
+		}
+	})
+}
+
+// fill puts a digest in place of "%s", if there is one.
+func fill(text []byte, digest string) []byte {
+	const place = "%s"
+	for i := range len(text) - len(place) + 1 {
+		if string(text[i:i+len(place)]) == place {
+			return fmt.Appendf(nil, "%s%s%s", text[:i], digest, text[i+len(place):])
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/table/sheet/fuzz_test.go
@@ -0,0 +1,43 @@
+package sheet_test
+
+// This file fuzzes tables.
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/jacinthstile/jacinthstile/examples"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+// FuzzParse checks that a table that is accepted is accepted again as it is
+// written, and that each weight is a number from zero up.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"serikelang", "slamka"} {
+		data, err := examples.Files.ReadFile(name + "/table.json")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte(`{"epoch":1,"version":1,"policy":{"ticket":"1m","seats":1}}`))
+	f.Add([]byte(`{"version":1,"policy":null,"endpoints":[{"name":"a","weight":-1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := sheet.Parse(data)
+		if err != nil {
+			return
+		}
+		for _, e := range s.Endpoints {
+			if w := s.Weight(e.Name); !(w >= 0) {
+				t.Errorf("weight of %q: got %v, want 0 or more", e.Name, w)
+			}
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatalf("writing an accepted table: %v", err)
+		}
+		if _, err := sheet.Parse(again); err != nil {
+			t.Errorf("reading an accepted table again: %v", err)
+		}
+	})
+}
