--- a/internal/table/feed/platform.go
+++ b/internal/table/feed/platform.go
@@ -22,6 +22,8 @@
 
 	rankDelay = 4 * time.Millisecond // an instance waits this long for each that ranks before it
 	mostDelay = 800 * time.Millisecond
+	coldDelay = 8 * time.Millisecond // in place of rankDelay while no table is in force
+	mostCold  = 4 * time.Second
 	leaders   = 8 // instances that may read objects fast
 
 	fastRate  rate.Limit = 100 // objects a second
@@ -91,6 +93,9 @@
 	if !known {
 		return jitter(mostDelay / 4)
 	}
+	if f.tables.Current() == nil {
+		return min(time.Duration(rank)*coldDelay, mostCold)
+	}
 	return min(time.Duration(rank)*rankDelay, mostDelay)
 }
 
