--- a/internal/bench/audit/audit.go
+++ b/internal/bench/audit/audit.go
@@ -6,7 +6,7 @@
 
 import (
 	"fmt"
-	"time"
+	"sync"
 
 	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
 	"github.com/jacinthstile/jacinthstile/internal/result/class"
@@ -26,10 +26,11 @@
 	Graceful Promise = "graceful stop"  // a graceful stop cuts off no request in flight
 	Table    Promise = "table in force" // an accepted change is in force within seconds and never reverts
 	Cap      Promise = "account cap"    // no more requests of an account in flight than its cap
+	Recovery Promise = "recovery"       // requests are answered where a way is left, and all after a fault
 )
 
 // Promises lists all promises.
-var Promises = []Promise{Own, Whole, NotRun, Once, Leaving, Graceful, Table, Cap}
+var Promises = []Promise{Own, Whole, NotRun, Once, Leaving, Graceful, Table, Cap, Recovery}
 
 // Violation is a broken promise.
 type Violation struct {
@@ -46,13 +47,16 @@
 	Outcomes []caller.Outcome
 	// Excused reports whether the run itself took the answer from the caller,
 	// such as by killing the instance that it talked to.
-	Excused func(caller.Outcome) bool
+	Excused func(i int, o caller.Outcome) bool // i counts in Outcomes
 
+	mu         sync.Mutex
 	violations []Violation
 }
 
 // Add records a violation that was seen elsewhere.
 func (a *Audit) Add(p Promise, format string, args ...any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.violations = append(a.violations, Violation{Promise: p, Detail: fmt.Sprintf(format, args...)})
 }
 
@@ -74,17 +78,17 @@
 			a.Add(Once, "booking %s ran %d times", body, n)
 		}
 	}
-	for _, o := range a.Outcomes {
-		a.outcome(o, runs[o.Request], bookings)
+	for i, o := range a.Outcomes {
+		a.outcome(i, o, runs[o.Request], bookings)
 	}
 }
 
-func (a *Audit) outcome(o caller.Outcome, runs int, bookings map[string]int) {
+func (a *Audit) outcome(i int, o caller.Outcome, runs int, bookings map[string]int) {
 	switch o.Verdict {
 	case caller.Wrong:
 		a.Add(Own, "%s %s: %s", o.Kind, o.Request, o.Detail)
 	case caller.Cut, caller.Gone:
-		if a.Excused == nil || !a.Excused(o) {
+		if a.Excused == nil || !a.Excused(i, o) {
 			a.Add(Whole, "%s %s was %s: %s", o.Kind, o.Request, o.Verdict, o.Detail)
 		}
 	case caller.Refused:
@@ -111,36 +115,3 @@
 		a.Add(Own, "%s %s was answered and did not run", o.Kind, o.Request)
 	}
 }
-
-// Leave checks that none of the endpoints got new work after the given time,
-// and returns when the last of them got any before it.
-func (a *Audit) Leave(leaving func(endpoint string) bool, after time.Time) (last time.Time) {
-	for _, e := range a.Entries {
-		if !leaving(e.Endpoint) {
-			continue
-		}
-		if e.Arrival.After(last) {
-			last = e.Arrival
-		}
-		if e.Arrival.After(after) {
-			a.Add(Leaving, "%s got %s of %s %v after the bound", e.Endpoint, e.Stage, e.Request, e.Arrival.Sub(after))
-		}
-	}
-	return last
-}
-
-// Use returns the most requests of an account that were at endpoints at once,
-// of those that were sent after a moment, and checks it against a cap.
-func (a *Audit) Use(isOf func(caller.Outcome) bool, since time.Time, limit int) int {
-	counted := make(map[string]bool)
-	for _, o := range a.Outcomes {
-		if isOf(o) && o.Start.After(since) && o.Request != "" {
-			counted[o.Request] = true
-		}
-	}
-	most := overlap(a.Entries, counted)
-	if limit > 0 && most > limit {
-		a.Add(Cap, "got %d requests in flight, want at most %d", most, limit)
-	}
-	return most
-}
--- a/internal/bench/audit/overlap.go
+++ b/internal/bench/audit/overlap.go
@@ -6,9 +6,26 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
 	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
 )
 
+// Use returns the most requests of an account that were at endpoints at once,
+// of those that were sent after a moment, and checks it against a cap.
+func (a *Audit) Use(isOf func(caller.Outcome) bool, since time.Time, limit int) int {
+	counted := make(map[string]bool)
+	for _, o := range a.Outcomes {
+		if isOf(o) && o.Start.After(since) && o.Request != "" {
+			counted[o.Request] = true
+		}
+	}
+	most := overlap(a.Entries, counted)
+	if limit > 0 && most > limit {
+		a.Add(Cap, "got %d requests in flight, want at most %d", most, limit)
+	}
+	return most
+}
+
 type edge struct {
 	at   time.Time
 	step int // +1 where a request begins, -1 where it ends
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/standin/platform"
 	"github.com/jacinthstile/jacinthstile/internal/standin/service"
 	"github.com/jacinthstile/jacinthstile/internal/standin/store"
+	"github.com/jacinthstile/jacinthstile/internal/standin/trouble"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
 
@@ -45,9 +46,10 @@
 type Options struct {
 	Daemons int
 	Timing  Timing
-	Drain   time.Duration // how long a stopping daemon waits for the balancer
-	Start   Start         // nil for Local
-	Gated   bool          // peers reach one another through gates that can be cut
+	Drain   time.Duration    // how long a stopping daemon waits for the balancer
+	Start   Start            // nil for Local
+	Trouble *trouble.Trouble // shared by all stand-ins; nil for one each
+	Gated   bool             // peers reach one another through gates that can be cut
 }
 
 // Fleet is a set of daemons before stand-ins of all that the table names.
--- a/internal/bench/fleet/standin.go
+++ b/internal/bench/fleet/standin.go
@@ -85,8 +85,11 @@
 		return fmt.Errorf("starting endpoint %s: %w", e.Name, err)
 	}
 	e.Address = l.Addr().String()
-	s := &Standin{Endpoint: *e, Trouble: trouble.New()}
-	s.handler = s.Trouble.Wrap(f.delayed(e.Centre, f.handlerOf(e)))
+	s := &Standin{Endpoint: *e, Trouble: f.options.Trouble}
+	if s.Trouble == nil {
+		s.Trouble = trouble.New()
+	}
+	s.handler = s.Trouble.Wrap(e.Name, f.delayed(e.Centre, f.handlerOf(e)))
 	s.serve(l)
 	f.Standins[e.Name] = s
 	f.closers = append(f.closers, s.Kill)
--- /dev/null
+++ b/internal/bench/matrix/cell.go
@@ -0,0 +1,134 @@
+// Package matrix meets every fault at every step of a request and of an
+// operation, with real daemons over loopback, and checks the promises from what
+// the stand-ins counted and what the callers received.
+package matrix
+
+// This file defines Cell, its table and its timing.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/bench/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/bench/member"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/centre"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/model"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+	"github.com/jacinthstile/jacinthstile/internal/table/service"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+// Cell is one fault at one step.
+type Cell struct {
+	Step  Step
+	Fault Fault
+}
+
+// String returns the names of the step and the fault.
+func (c Cell) String() string { return c.Step.Name + " / " + c.Fault.Name }
+
+// Cells returns every fault at every step.
+func Cells() []Cell {
+	var cells []Cell
+	for _, s := range Steps {
+		for _, f := range Faults {
+			cells = append(cells, Cell{Step: s, Fault: f})
+		}
+	}
+	return cells
+}
+
+// starter returns how the cell's daemons start: the victim of an instance fault
+// is a process of its own, the others share this one.
+func (c Cell) starter(process fleet.Start) fleet.Start {
+	victim := fmt.Sprintf("entry-%d", c.Step.Victim+1)
+	return func(ctx context.Context, s config.Config, log logr.Logger) (member.Member, error) {
+		if c.Fault.Group == AtInstance && s.Name == victim {
+			return process(ctx, s, log)
+		}
+		return fleet.Local(ctx, s, log)
+	}
+}
+
+// Names in the table of a cell.
+const (
+	pipelineName = "answer"
+	serviceName  = "bookings"
+	firstModel   = "model-1"
+	secondModel  = "model-2"
+	accountName  = "workshop"
+	accountKey   = "key-" + accountName
+	emptied      = "centre-3"
+	movedEngine  = "generate-3"
+	tokens       = 6
+)
+
+// timing returns a model that keeps cells short.
+func timing() fleet.Timing {
+	return fleet.Timing{
+		Pool: time.Millisecond, Service: 2 * time.Millisecond,
+		First: 2 * time.Millisecond, Token: time.Millisecond, Blocks: 100,
+	}
+}
+
+// newTable returns three data centres with an endpoint of each role.
+func newTable() (*sheet.Sheet, error) {
+	s := &sheet.Sheet{
+		Epoch: 1, Version: 1,
+		Policy: &policy.Policy{
+			Attainment: 1, Retry: 1, Eject: 0.4, Ticket: span.Span(time.Minute), Seats: daemons, Away: 0.5,
+		},
+		Accounts: []account.Account{{Name: accountName, Digest: account.DigestOf(accountKey), Weight: 1}},
+		Models:   []model.Model{{Name: firstModel, Version: "1", Pipeline: pipelineName}, {Name: secondModel, Version: "1"}},
+		Services: []service.Service{{
+			Name: serviceName, Deadline: span.Span(usualDeadline),
+			Operations: []service.Operation{
+				{Method: "GET", Path: "/status", Idempotent: true},
+				{Method: "POST", Path: "/bookings"},
+			},
+		}},
+	}
+	p := pipeline.Pipeline{Name: pipelineName, Deadline: span.Span(usualDeadline)}
+	for _, role := range []string{"encode", "retrieve", "rerank"} {
+		p.Stages = append(p.Stages, pipeline.Stage{Name: role, Role: role, Time: span.Span(time.Millisecond)})
+	}
+	p.Stages = append(p.Stages, pipeline.Stage{
+		Name: "generate", Role: "generate", Model: firstModel, Time: span.Span(10 * time.Millisecond), Tokens: tokens,
+	})
+	s.Pipelines = append(s.Pipelines, p)
+	for i := 1; i <= daemons; i++ {
+		s.Centres = append(s.Centres, centre.Centre{Name: fmt.Sprintf("centre-%d", i), Region: "region", Weight: 1})
+		s.Endpoints = append(s.Endpoints, endpointsOf(i)...)
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	return sheet.Parse(data)
+}
+
+func endpointsOf(i int) []endpoint.Endpoint {
+	row := func(role, kind string) endpoint.Endpoint {
+		return endpoint.Endpoint{
+			Name: fmt.Sprintf("%s-%d", role, i), Address: "127.0.0.1:1", Centre: fmt.Sprintf("centre-%d", i),
+			Kind: kind, Role: role, Weight: 1, Limit: 32, Cost: 1,
+		}
+	}
+	generate := row("generate", endpoint.Engine)
+	generate.Models = []string{firstModel}
+	generate.Fenced = i%2 == 1
+	booking := row(serviceName, endpoint.Service)
+	booking.Trusted = true
+	return []endpoint.Endpoint{
+		row("encode", endpoint.Pool), row("retrieve", endpoint.Pool), row("rerank", endpoint.Pool), generate, booking,
+	}
+}
--- /dev/null
+++ b/internal/bench/matrix/matrix_test.go
@@ -0,0 +1,138 @@
+package matrix_test
+
+// This file runs every cell and compares docs/FAULTS.md with the matrix.
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/audit"
+	"github.com/jacinthstile/jacinthstile/internal/bench/matrix"
+)
+
+var (
+	only   = flag.String("cell", "", "run the cells whose name contains this text")
+	update = flag.Bool("update", false, "write docs/FAULTS.md")
+	rounds = flag.Int("rounds", 1, "run each cell this often")
+)
+
+const (
+	knownRed  = "../../../KNOWN-RED.txt"
+	redPrefix = "matrix: "
+)
+
+func TestMain(m *testing.M) {
+	if settings := os.Getenv(settingsVariable); settings != "" {
+		serve(settings)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestMatrix(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Fault matrix")
+}
+
+// finding is what one cell showed.
+type finding struct {
+	violations []audit.Violation
+	log        []string
+}
+
+var (
+	findings = map[string]finding{}
+	running  sync.Mutex
+)
+
+// Cells run side by side before the specs, which then report one cell each.
+var _ = BeforeSuite(func(ctx SpecContext) {
+	bound := make(chan struct{}, max(2, runtime.GOMAXPROCS(0)/2))
+	var wg sync.WaitGroup
+	for range *rounds {
+		for _, c := range matrix.Cells() {
+			if !strings.Contains(c.String(), *only) {
+				continue
+			}
+			bound <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-bound }()
+				record(ctx, c)
+			})
+		}
+	}
+	wg.Wait()
+})
+
+func record(ctx context.Context, c matrix.Cell) {
+	violations, log := c.Do(ctx, process)
+	running.Lock()
+	defer running.Unlock()
+	if known, ok := findings[c.String()]; ok && len(known.violations) > 0 {
+		return
+	}
+	findings[c.String()] = finding{violations: violations, log: log}
+}
+
+func entries() []TableEntry {
+	var out []TableEntry
+	for _, c := range matrix.Cells() {
+		out = append(out, Entry(c.String(), c))
+	}
+	return out
+}
+
+var _ = DescribeTable("keeps the promises", func(c matrix.Cell) {
+	f, ok := findings[c.String()]
+	if !ok {
+		Skip("not among the cells asked for")
+	}
+	if len(f.violations) == 0 {
+		return
+	}
+	report := fmt.Sprintf("%v\nreplay: go test ./internal/bench/matrix -cell %q\n%s",
+		f.violations, c.String(), strings.Join(f.log, "\n"))
+	if isKnownRed(c.String()) {
+		Skip("known red: " + report)
+	}
+	Fail(report)
+}, entries())
+
+// isKnownRed reports whether KNOWN-RED.txt lists a cell.
+func isKnownRed(cell string) bool {
+	file, err := os.Open(knownRed)
+	if err != nil {
+		return false
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), redPrefix+cell) {
+			return true
+		}
+	}
+	return false
+}
+
+var _ = Describe("docs/FAULTS.md", func() {
+	It("holds the matrix", func() {
+		const path = "../../../docs/FAULTS.md"
+		want := matrix.Page(isKnownRed)
+		if *update {
+			Expect(os.WriteFile(path, []byte(want), 0o644)).To(Succeed())
+		}
+		got, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(Equal(want), "run go test ./internal/bench/matrix -update")
+	})
+})
--- /dev/null
+++ b/internal/bench/matrix/page.go
@@ -0,0 +1,52 @@
+package matrix
+
+// This file writes docs/FAULTS.md.
+
+import (
+	"fmt"
+	"strings"
+)
+
+const head = `# Fault matrix
+
+Every fault at every step. Written by ` + "`go test ./internal/bench/matrix -update`" + ` and checked by
+` + "`go test ./internal/bench/matrix`" + `; ` + "`-cell TEXT`" + ` runs the cells whose name contains a text and ` + "`-rounds N`" + `
+runs each cell N times. Three daemons stand before three data centres with an endpoint of each role.
+
+A cell sends the step's request or makes the operator's change, lets the fault come at that point, makes other requests
+at the other daemons meanwhile, ends the fault, and asks every daemon again. It checks all promises from what the
+stand-ins counted and what the callers received: own result, whole answer, "not run", at most once, leaving, graceful
+stop, table in force, and that requests are answered where a way is left and all after the fault.
+
+- An endpoint fault meets one call of the step's stage, at whichever endpoint it comes to; for steps without a stage,
+  the next call of any stage.
+- The daemon that is killed, paused or restarted is a process of its own: SIGKILL, SIGSTOP and SIGCONT, and a new process.
+  The others share the test's process. Answers that the fault itself took from a caller are excused while it lasts.
+- The configuration service is down or stale for all daemons but one.
+- Peers reach one another through relays that a partition cuts.
+
+held: the suite checks this cell. red: KNOWN-RED.txt lists it.
+`
+
+// Page returns the text of docs/FAULTS.md.
+func Page(isRed func(cell string) bool) string {
+	var b strings.Builder
+	b.WriteString(head)
+	fmt.Fprintf(&b, "\n| Fault |")
+	for _, s := range Steps {
+		fmt.Fprintf(&b, " %s |", s.Name)
+	}
+	fmt.Fprintf(&b, "\n|%s\n", strings.Repeat(" --- |", len(Steps)+1))
+	for _, f := range Faults {
+		fmt.Fprintf(&b, "| %s |", f.Name)
+		for _, s := range Steps {
+			mark := "held"
+			if isRed(Cell{Step: s, Fault: f}.String()) {
+				mark = "red"
+			}
+			fmt.Fprintf(&b, " %s |", mark)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/bench/matrix/process_test.go
@@ -0,0 +1,120 @@
+package matrix_test
+
+// This file runs a daemon as a process of its own: this test's program started
+// again with settings in its environment.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/member"
+	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+)
+
+const settingsVariable = "JACINTHSTILE_MATRIX_SETTINGS"
+
+// addresses is what the process prints once its listeners are open.
+type addresses struct{ Caller, Peer, Operator string }
+
+// child is a daemon in a process.
+type child struct {
+	name, centre string
+	at           addresses
+	process      *exec.Cmd
+	ended        chan struct{}
+	kill         func()
+}
+
+var _ member.Member = (*child)(nil)
+
+func (c *child) Name() string     { return c.name }
+func (c *child) Centre() string   { return c.centre }
+func (c *child) Caller() string   { return c.at.Caller }
+func (c *child) Peer() string     { return c.at.Peer }
+func (c *child) Operator() string { return c.at.Operator }
+func (c *child) Kill()            { c.kill() }
+
+func (c *child) Stop(ctx context.Context) error {
+	if err := c.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-c.ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *child) Pause() (func(), error) {
+	if err := c.process.Process.Signal(syscall.SIGSTOP); err != nil {
+		return nil, err
+	}
+	return func() { c.process.Process.Signal(syscall.SIGCONT) }, nil
+}
+
+// process starts a child and waits for its addresses.
+func process(_ context.Context, c config.Config, _ logr.Logger) (member.Member, error) {
+	settings, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	p := exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), settingsVariable+"="+string(settings))
+	p.Stderr = io.Discard
+	in, err := p.StdinPipe() // its end tells the child that this process is gone
+	if err != nil {
+		return nil, err
+	}
+	out, err := p.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.Start(); err != nil {
+		return nil, fmt.Errorf("starting daemon: %w", err)
+	}
+	m := &child{name: c.Name, centre: c.Centre, process: p, ended: make(chan struct{})}
+	m.kill = sync.OnceFunc(func() { p.Process.Kill(); <-m.ended })
+	line, readErr := bufio.NewReader(out).ReadBytes('\n')
+	go func() { p.Wait(); in.Close(); close(m.ended) }()
+	if err := errors.Join(readErr, json.Unmarshal(line, &m.at)); err != nil {
+		m.kill()
+		return nil, fmt.Errorf("reading the addresses of a daemon: %w", err)
+	}
+	return m, nil
+}
+
+// serve is the child's side: it runs the daemon until a signal.
+func serve(settings string) {
+	var c config.Config
+	if err := json.Unmarshal([]byte(settings), &c); err != nil {
+		panic(err)
+	}
+	go func() {
+		io.Copy(io.Discard, os.Stdin)
+		os.Exit(1)
+	}()
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	d, cleanUp, err := daemon.New(c, logr.Discard())
+	if err != nil {
+		panic(err)
+	}
+	defer cleanUp()
+	go d.Run(context.Background())
+	json.NewEncoder(os.Stdout).Encode(addresses{d.CallerAddress(), d.PeerAddress(), d.OperatorAddress()})
+	<-signals.Done()
+	d.Stop(context.Background())
+}
--- a/internal/standin/trouble/hook.go
+++ b/internal/standin/trouble/hook.go
@@ -17,7 +17,7 @@
 
 // Hook is called once, by the first call that comes to its point.
 type Hook struct {
-	Stage string // a stage, or a part of the method and path of a plain call; empty for all
+	Stage string // a part of "ENDPOINT STAGE" or "ENDPOINT METHOD PATH"; empty for all
 	At    int    // Arrival, Done, or how many pieces of the answer are written
 	Do    func()
 }
--- a/internal/standin/trouble/trouble.go
+++ b/internal/standin/trouble/trouble.go
@@ -49,7 +49,7 @@
 type Fault struct {
 	Kind   Kind          `json:"kind"`
 	Times  int           `json:"times"` // calls that meet it; 0 for all
-	Stage  string        `json:"stage"` // a stage, or a part of the path of a plain call; empty for all
+	Stage  string        `json:"stage"` // a part of "ENDPOINT STAGE" or "ENDPOINT METHOD PATH"; empty for all
 	At     int           `json:"at"`    // pieces of the answer that come first, for Cut and Short
 	Delay  time.Duration `json:"delay"` // in nanoseconds, for Late
 	Factor int           `json:"factor"`
@@ -110,9 +110,10 @@
 	return nil
 }
 
-// Wrap returns a handler that serves the control path and passes other calls
-// through the faults to h. Load reports, orders and events meet no fault.
-func (t *Trouble) Wrap(h http.Handler) http.Handler {
+// Wrap returns a handler that serves the control path and passes other calls of
+// the named endpoint through the faults to h. Load reports, orders and events
+// meet no fault. Several endpoints may share a Trouble.
+func (t *Trouble) Wrap(name string, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == controlPath {
 			t.control(w, r)
@@ -127,7 +128,7 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		stage := stageOf(r, body)
+		stage := name + " " + stageOf(r, body)
 		inner := t.hooked(stage, h)
 		if f := t.take(stage); f != nil {
 			f.serve(inner, w, r)
--- a/internal/standin/trouble/trouble_test.go
+++ b/internal/standin/trouble/trouble_test.go
@@ -64,7 +64,7 @@
 // the tokens that were passed on.
 func meet(t *testing.T, f trouble.Fault, tr *trouble.Trouble, h http.Handler) (failure.Kind, string) {
 	tr.Add(f)
-	s := httptest.NewServer(tr.Wrap(h))
+	s := httptest.NewServer(tr.Wrap("e", h))
 	defer s.Close()
 	c, closeClient := client.New()
 	defer closeClient()
