--- a/internal/bench/audit/audit.go
+++ b/internal/bench/audit/audit.go
@@ -98,7 +98,7 @@
 		if o.Class == class.Failed && o.Body != "" && bookings[o.Body] == 0 {
 			a.Add(NotRun, "%s %s got code %d, which says that it ran, and did not run", o.Kind, o.Request, o.Code)
 		}
-	case caller.Answered, caller.Overdue:
+	case caller.Answered, caller.Overdue, caller.Failed:
 		a.answered(o, runs, bookings)
 	default:
 		panic(fmt.Sprintf("audit: got verdict %q, want one that is known", o.Verdict))
--- a/internal/bench/caller/pipeline.go
+++ b/internal/bench/caller/pipeline.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		if bytes.HasPrefix(data, []byte(`{"error"`)) {
-			o.refuse(data)
+			o.refuse(http.StatusOK, data)
 			return
 		}
 		piece, last, err := q.read(data)
--- a/internal/bench/demo/result.go
+++ b/internal/bench/demo/result.go
@@ -82,7 +82,7 @@
 			if v.daemon == 0 && v.Verdict != caller.Wrong {
 				r.Cut++
 			}
-		case caller.Overdue:
+		case caller.Overdue, caller.Failed:
 		default:
 			panic("demo: got verdict " + string(v.Verdict) + ", want one that is known")
 		}
--- a/internal/bench/matrix/run.go
+++ b/internal/bench/matrix/run.go
@@ -123,7 +123,11 @@
 		return
 	}
 	r.read(ctx, last)
-	r.book(ctx, other, last, issuer)
+	if r.cell.Step.Name == Stop {
+		r.book(ctx, other, last)
+	} else {
+		r.book(ctx, other, last, issuer)
+	}
 	r.pipeline(ctx, other)
 }
 
