--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -13,10 +13,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
@@ -80,13 +83,15 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
+	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
+	budget := retry.New()
 	d.limits = keeper.New(self.Seat)
-	d.relay = relay.New(d.tables, pick, stats, endpoints, d.log)
+	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope)
 	d.desk = d.newDesk(self)
 	d.callers = &http.Server{
 		Handler: d.counted(caller.New(
 			d.tables,
-			runner.New(d.tables, pick, stats, endpoints, d.log),
+			runner.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope),
 			d.relay,
 			d.limits,
 			d.desk,
