--- a/internal/bench/audit/audit.go
+++ b/internal/bench/audit/audit.go
@@ -86,7 +86,11 @@
 func (a *Audit) outcome(i int, o caller.Outcome, runs int, bookings map[string]int) {
 	switch o.Verdict {
 	case caller.Wrong:
-		a.Add(Own, "%s %s: %s", o.Kind, o.Request, o.Detail)
+		p := Own
+		if o.Partial {
+			p = Whole
+		}
+		a.Add(p, "%s %s: %s", o.Kind, o.Request, o.Detail)
 	case caller.Cut, caller.Gone:
 		if a.Excused == nil || !a.Excused(i, o) {
 			a.Add(Whole, "%s %s was %s: %s", o.Kind, o.Request, o.Verdict, o.Detail)
--- a/internal/bench/caller/caller.go
+++ b/internal/bench/caller/caller.go
@@ -45,6 +45,7 @@
 	Deadline time.Duration
 	Body     string // of a non-idempotent call
 	Output   string
+	Partial  bool // a wrong answer is the start of the right one
 }
 
 // Caller is one client account's client.
--- a/internal/bench/caller/pipeline.go
+++ b/internal/bench/caller/pipeline.go
@@ -109,6 +109,7 @@
 func (q question) judge(o *Outcome, text string) {
 	o.Output = text
 	if want := expected(o.Request, q.pipeline, q.input, 0); text != want {
+		o.Partial = strings.HasPrefix(want, text)
 		o.end(Wrong, fmt.Sprintf("got %q, want %q", text, want))
 		return
 	}
--- /dev/null
+++ b/internal/bench/matrix/breaks.go
@@ -0,0 +1,181 @@
+package matrix
+
+// This file lists deliberate breaks of the product, each with the cell that catches it.
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/audit"
+)
+
+// Edit replaces one piece of a source file.
+type Edit struct {
+	File string // from the root of the repository
+	Old  string // stands there exactly once
+	New  string
+}
+
+// Break is a fault put into the product's code that the matrix must see.
+type Break struct {
+	Name    string
+	Promise audit.Promise
+	Cell    string // the cell that catches it, or empty
+	Test    string // where no cell does, "PACKAGE TEST", the package from the root of the repository
+	Edits   []Edit
+}
+
+// Breaks lists at least one break for each promise.
+var Breaks = []Break{
+	{
+		Name: "a stage answer is taken without its identity", Promise: audit.Own, Cell: Encode + " / " + Swapped,
+		Edits: []Edit{{
+			File: "internal/endpoint/client/stage.go",
+			Old:  "return e.Request == r.call.Request && e.Stage == r.call.Stage && e.Attempt == r.call.Attempt",
+			New:  "return e != nil",
+		}},
+	},
+	{
+		Name: "a stream that ends early counts as whole", Promise: audit.Whole, Cell: MidStream + " / " + Cut,
+		Edits: []Edit{{
+			File: "internal/endpoint/client/stage.go",
+			Old:  "\treturn call.Answer{}, r.cut(ctx, lines.Err())\n}\n\nfunc (r *stageReader) decode",
+			New:  "\treturn r.finish()\n}\n\nfunc (r *stageReader) decode",
+		}, {
+			File: "internal/endpoint/client/stage.go",
+			Old:  "got := r.text.Len(); !e.Done || got != e.Size",
+			New:  "got := r.text.Len(); got < 0",
+		}},
+	},
+	{
+		Name: "a call whose answer was lost is called not run", Promise: audit.NotRun, Cell: AfterSend + " / " + DeadAfter,
+		Edits: []Edit{{
+			File: "internal/flow/relay/relay.go",
+			Old:  "faultOf(ctx, t.ran, t.last)",
+			New:  "faultOf(ctx, false, t.last)",
+		}},
+	},
+	{
+		Name: "a lost call is sent again as if it had not left", Promise: audit.Once, Cell: AfterSend + " / " + DeadAfter,
+		Edits: []Edit{{
+			File: "internal/flow/relay/relay.go",
+			Old:  "\tcase failure.Unsent:\n\t\treturn true",
+			New:  "\tcase failure.Unsent, failure.Lost:\n\t\treturn true",
+		}},
+	},
+	{
+		Name: "a repeated ticket runs its call again", Promise: audit.Once, Cell: AfterSend + " / " + Doubled,
+		Edits: []Edit{{
+			File: "internal/ticket/store/store.go",
+			Old:  "\t\treturn t.flight, false, nil",
+			New:  "\t\tt.flight = newFlight()\n\t\treturn t.flight, true, nil",
+		}},
+	},
+	{
+		Name: "endpoints of weight zero are chosen", Promise: audit.Leaving, Cell: Drain + " / " + Down,
+		Edits: []Edit{{
+			File: "internal/routing/picker/picker.go",
+			Old:  "return s.Weight(name) > 0 && !b.Leaving(name)",
+			New:  "return s.Endpoint(name) != nil && !b.Leaving(name)",
+		}, {
+			File: "internal/routing/picker/group.go",
+			Old:  "w := s.Weight(e.Name)",
+			New:  "w := max(1, s.Weight(e.Name))",
+		}},
+	},
+	{
+		Name: "weight zero is not asked for again before the send", Promise: audit.Leaving,
+		Test: "./internal/flow/dispatcher TestLeaseEndsWithTheWeight",
+		Edits: []Edit{{
+			File: "internal/flow/dispatcher/lease.go",
+			Old:  "!picker.Allowed(table, d.board, l.Endpoint.Name)",
+			New:  "picker.Allowed(table, d.board, \"\")",
+		}},
+	},
+	{
+		Name: "a graceful stop closes connections", Promise: audit.Graceful, Cell: Stop + " / " + Burst,
+		Edits: []Edit{{
+			File: "internal/entry/daemon/stop.go",
+			Old:  "d.callers.Shutdown(ctx)",
+			New:  "d.callers.Close()",
+		}},
+	},
+	{
+		Name: "an older table replaces a newer one", Promise: audit.Table, Cell: TableChange + " / " + Older,
+		Edits: []Edit{{
+			File: "internal/table/revision/revision.go",
+			Old:  "return r.Compare(o) > 0",
+			New:  "return r.Compare(o) != 0",
+		}, {
+			File: "internal/table/holder/holder.go",
+			Old:  "!s.After(h.current.Load())",
+			New:  "s == nil",
+		}},
+	},
+	{
+		Name: "newer tables of peers are not pulled", Promise: audit.Table, Cell: TableChange + " / " + Down,
+		Edits: []Edit{{
+			File: "internal/table/feed/peers.go",
+			Old:  "at.Version > 0 && f.heardOf(at)",
+			New:  "at.Version == 0 && f.heardOf(at)",
+		}},
+	},
+	{
+		Name: "each daemon grants the whole cap of an account", Promise: audit.Cap, Cell: Admission + " / " + Burst,
+		Edits: []Edit{{
+			File: "internal/limit/keeper/keeper.go",
+			Old:  "u.inFlight >= share(a.Cap, k.seat, seats)",
+			New:  "u.inFlight >= a.Cap",
+		}},
+	},
+	{
+		Name: "a lost idempotent call is not tried again", Promise: audit.Recovery, Cell: Read + " / " + DeadBefore,
+		Edits: []Edit{{
+			File: "internal/flow/relay/relay.go",
+			Old:  "return o.Idempotent && r.budget.Retry()",
+			New:  "return false",
+		}},
+	},
+}
+
+// Caught returns the cell or the test that catches the break.
+func (b Break) Caught() string { return b.Cell + b.Test }
+
+// Overlay writes the changed files to a directory and returns the path of the
+// overlay that puts them in the place of the ones under root.
+func (b Break) Overlay(root, dir string) (string, error) {
+	texts := make(map[string]string)
+	for _, e := range b.Edits {
+		path := filepath.Join(root, e.File)
+		text, ok := texts[path]
+		if !ok {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return "", err
+			}
+			text = string(data)
+		}
+		if n := strings.Count(text, e.Old); n != 1 {
+			return "", fmt.Errorf("break %q: %s holds %q %d times, want once: update internal/bench/matrix/breaks.go",
+				b.Name, e.File, e.Old, n)
+		}
+		texts[path] = strings.Replace(text, e.Old, e.New, 1)
+	}
+	overlay := struct{ Replace map[string]string }{make(map[string]string)}
+	for path, text := range texts {
+		changed := filepath.Join(dir, fmt.Sprintf("%d.go", len(overlay.Replace)))
+		if err := os.WriteFile(changed, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		overlay.Replace[path] = changed
+	}
+	data, err := json.Marshal(overlay)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, "overlay.json")
+	return file, os.WriteFile(file, data, 0o600)
+}
--- a/internal/bench/matrix/page.go
+++ b/internal/bench/matrix/page.go
@@ -28,6 +28,18 @@
 held: the suite checks this cell. red: KNOWN-RED.txt lists it.
 `
 
+const broken = `
+## Deliberate breaks
+
+Each row is a change of the product's code that must turn its cell red with a violation of its promise. ` + "`go test ./internal/bench/matrix -run TestBreaks -breaks`" + `
+builds the product with each (an overlay of the build; the files stay as they are) and runs the cell, or the test where
+the time between two of the product's steps is too short for a cell to come between. The suite checks that every change
+still fits the code.
+
+| Break | Promise | Caught by |
+| --- | --- | --- |
+`
+
 // Page returns the text of docs/FAULTS.md.
 func Page(isRed func(cell string) bool) string {
 	var b strings.Builder
@@ -48,5 +60,9 @@
 		}
 		b.WriteString("\n")
 	}
+	b.WriteString(broken)
+	for _, k := range Breaks {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", k.Name, k.Promise, k.Caught())
+	}
 	return b.String()
 }
--- a/internal/standin/trouble/writer.go
+++ b/internal/standin/trouble/writer.go
@@ -12,6 +12,11 @@
 	"time"
 )
 
+// wrap returns a handler that answers under the fault.
+func (f *Fault) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(h, w, r) })
+}
+
 // serve answers a call under the fault.
 func (f *Fault) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	switch f.Kind {
