Let one probe end what a pause measured

Cause: a daemon that was stopped for 500 ms measured that time as its stages' own. It then refused every request with a shorter deadline as hopeless (1106), its probes were refused by the queue because their latest start lay behind them (1104), and the slow moving mean would have needed tens of probes, one a second. Ruled out: the table and the list, which were in force at once. Change: a probe keeps the whole deadline, and a shorter time that it measures replaces the measurement.

--- a/internal/admission/schedule/schedule.go
+++ b/internal/admission/schedule/schedule.go
@@ -72,6 +72,19 @@
 	m.deviation += gain * (max(diff, -diff) - m.deviation)
 }
 
+// Restart records the service time of a stage of a job that was let in although
+// the measurements spoke against it. A shorter time takes their place, since
+// they would keep out the jobs that could correct them.
+func (s *Schedule) Restart(pipeline, stage string, took time.Duration) {
+	k := key{pipeline, stage}
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if m := sh.times[k]; m == nil || float64(took) < m.mean {
+		sh.times[k] = &measured{mean: float64(took), deviation: float64(took) / 2}
+	}
+}
+
 // Time returns the mean and mean deviation of a stage, or what the table
 // expects of it as long as nothing was measured.
 func (s *Schedule) Time(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -17,7 +17,8 @@
 	Model    string // replaces the model of generating stages; empty to keep it
 	Input    string
 	Deadline time.Time
-	Tokens   int // most tokens to generate; zero for the pipeline's own number
+	Tokens   int  // most tokens to generate; zero for the pipeline's own number
+	Probe    bool // let in to measure its stages again, though it is not expected to finish in time
 }
 
 // Outcome is a job's whole answer.
--- a/internal/flow/runner/runner.go
+++ b/internal/flow/runner/runner.go
@@ -89,7 +89,11 @@
 	}
 	left := time.Until(j.Deadline)
 	verdict := r.times.Fits(j.Pipeline, 0, left, wait)
-	if verdict.Fits || left > 0 && r.probes.take(j.Pipeline.Name, time.Now()) {
+	if verdict.Fits {
+		return nil
+	}
+	if left > 0 && r.probes.take(j.Pipeline.Name, time.Now()) {
+		j.Probe = true
 		return nil
 	}
 	r.count("early", j.Pipeline.Name)
--- a/internal/flow/runner/stage.go
+++ b/internal/flow/runner/stage.go
@@ -110,15 +110,25 @@
 	return retry.Share{Retry: p.Retry, Hedge: p.Hedge}
 }
 
+// measure records how long the attempt that won took.
+func (s *stage) measure(res result) {
+	p, name := s.job.Pipeline.Name, s.stage.Name
+	if s.job.Probe {
+		s.times.Restart(p, name, res.took)
+		s.firsts.Restart(p, name, res.first)
+		return
+	}
+	s.times.Observe(p, name, res.took)
+	s.firsts.Observe(p, name, res.first)
+}
+
 // accept records the answer of the attempt that won.
 func (s *stage) accept(res result, took time.Duration) call.Answer {
 	s.record.Endpoint = res.endpoint
 	s.record.Attempts = s.attempts
 	s.record.Took = took
 	s.record.Busy = res.answer.Busy
-	p, name := s.job.Pipeline.Name, s.stage.Name
-	s.times.Observe(p, name, res.took)
-	s.firsts.Observe(p, name, res.first)
+	s.measure(res)
 	answer := res.answer
 	if n := s.stream.close(); n > 0 {
 		answer.Output = s.stream.text.String()
@@ -212,12 +222,18 @@
 
 // latest returns the last moment at which the stage is worth to start.
 func (s *stage) latest() time.Time {
+	if s.job.Probe {
+		return s.job.Deadline
+	}
 	return s.job.Deadline.Add(-s.times.Need(s.job.Pipeline, s.index))
 }
 
 // until returns the moment after which the stage's answer is of no use: the
 // later stages could not finish even in half of their usual time.
 func (s *stage) until() time.Time {
+	if s.job.Probe {
+		return s.job.Deadline
+	}
 	later := s.times.Need(s.job.Pipeline, s.index+1)
 	return s.job.Deadline.Add(-later / 2)
 }
