--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -85,7 +85,7 @@
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
 	budget := retry.New()
-	d.limits = keeper.New(self.Seat)
+	d.limits = d.newKeeper(self)
 	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, tally.NoopScope)
 	d.desk = d.newDesk(self)
 	d.callers = &http.Server{
@@ -160,6 +160,7 @@
 	defer cancel()
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
+	go d.limits.Run(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.callerListener) }()
 	go func() { failed <- d.operator.Serve(d.operatorListener) }()
