--- a/internal/bench/matrix/judge.go
+++ b/internal/bench/matrix/judge.go
@@ -112,6 +112,10 @@
 func (r *run) watchOne(ctx context.Context, i int) {
 	var highest fleet.Status
 	var of member.Member
+	every := watchEvery
+	if r.cell.meets(Older) {
+		every = closeWatch
+	}
 	for ctx.Err() == nil {
 		m := r.fleet.Members()[i]
 		if m != of {
@@ -127,7 +131,7 @@
 			highest = s
 		}
 		select {
-		case <-time.After(watchEvery):
+		case <-time.After(every):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/bench/matrix/run.go
+++ b/internal/bench/matrix/run.go
@@ -30,6 +30,7 @@
 	bound         = 3 * time.Second // in force, empty, and well again
 	stopTimeout   = 10 * time.Second
 	watchEvery    = 20 * time.Millisecond
+	closeWatch    = 3 * time.Millisecond // where the fault offers an older table
 	pollEvery     = 10 * time.Millisecond
 )
 
