--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -17,18 +17,22 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
 )
 
-// session returns the open session to an address, or opens one. Callers that
+// session returns the open session with the peer at an address, whichever side
+// opened it, or opens one. Callers that
 // come while it is being opened wait for the same one.
 func (m *Mesh) session(ctx context.Context, address string) (*session, error) {
 	m.mu.Lock()
-	s, closed := m.dialed[address], m.closed
+	closed := m.closed
+	for _, s := range []*session{m.dialed[address], m.inbound[address]} {
+		if s != nil && !closed && !s.mux.IsClosed() {
+			m.mu.Unlock()
+			return s, nil
+		}
+	}
 	m.mu.Unlock()
 	if closed {
 		return nil, net.ErrClosed
 	}
-	if s != nil && !s.mux.IsClosed() {
-		return s, nil
-	}
 	opened := m.dials.DoChan(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
@@ -56,6 +60,7 @@
 		return nil, err
 	}
 	m.observer().Heard(s.peer, theirs)
+	go m.answerAll(m.ctx, s)
 	return s, nil
 }
 
@@ -114,7 +119,7 @@
 		return nil, "", err
 	}
 	defer stream.Close()
-	theirs, err := m.greet(stream, s, conn)
+	theirs, err := m.greet(stream, s, conn, true)
 	if err != nil {
 		mux.Close()
 		return nil, "", err
@@ -123,20 +128,16 @@
 }
 
 // greet exchanges hellos on the first stream of a session, and returns the
-// address on which the peer accepts sessions.
-func (m *Mesh) greet(stream *yamux.Stream, s *session, conn net.Conn) (string, error) {
+// address on which the peer accepts sessions. The side that dialed speaks
+// first; the other answers only a peer whose name is proved.
+func (m *Mesh) greet(stream *yamux.Stream, s *session, conn net.Conn, first bool) (string, error) {
 	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return "", err
 	}
-	own := &peerpb.Hello{
-		Name:        m.self.Name,
-		Centre:      m.self.Centre,
-		Incarnation: m.self.Incarnation,
-		Seat:        uint32(m.self.Seat + 1),
-		Address:     m.address(),
-	}
-	if _, err := protodelim.MarshalTo(stream, own); err != nil {
-		return "", fmt.Errorf("sending hello: %w", err)
+	if first {
+		if err := m.sendHello(stream); err != nil {
+			return "", err
+		}
 	}
 	var h peerpb.Hello
 	if err := read(stream, &h); err != nil {
@@ -153,5 +154,22 @@
 		Incarnation: h.Incarnation,
 		Seat:        int(h.Seat) - 1,
 	}
+	if !first {
+		return h.Address, m.sendHello(stream)
+	}
 	return h.Address, nil
 }
+
+func (m *Mesh) sendHello(stream *yamux.Stream) error {
+	own := &peerpb.Hello{
+		Name:        m.self.Name,
+		Centre:      m.self.Centre,
+		Incarnation: m.self.Incarnation,
+		Seat:        uint32(m.self.Seat + 1),
+		Address:     m.address(),
+	}
+	if _, err := protodelim.MarshalTo(stream, own); err != nil {
+		return fmt.Errorf("sending hello: %w", err)
+	}
+	return nil
+}
