--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/standin/platform"
 	"github.com/jacinthstile/jacinthstile/internal/standin/service"
 	"github.com/jacinthstile/jacinthstile/internal/standin/store"
+	"github.com/jacinthstile/jacinthstile/internal/standin/trouble"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
 
@@ -46,9 +47,10 @@
 type Options struct {
 	Daemons int
 	Timing  Timing
-	Drain   time.Duration // how long a stopping daemon waits for the balancer
-	Start   Start         // nil for Local
-	Gated   bool          // peers reach one another through gates that can be cut
+	Drain   time.Duration    // how long a stopping daemon waits for the balancer
+	Start   Start            // nil for Local
+	Trouble *trouble.Trouble // shared by all stand-ins; nil for one each
+	Gated   bool             // peers reach one another through gates that can be cut
 }
 
 // Fleet is a set of daemons before stand-ins of all that the table names.
@@ -167,15 +169,20 @@
 	return m, nil
 }
 
-// Restart starts daemon i again after its end, with nothing kept, and lists it.
-func (f *Fleet) Restart(ctx context.Context, i int) (member.Member, error) {
-	m, err := f.startDaemon(i)
-	if err != nil {
-		return nil, err
+// StartAgain starts daemon i after its end, with nothing kept, and lists it.
+func (f *Fleet) StartAgain(i int) error {
+	if _, err := f.startDaemon(i); err != nil {
+		return err
 	}
-	if err := f.ListInstances(); err != nil {
+	return f.ListInstances()
+}
+
+// Restart starts daemon i again and returns when it is ready.
+func (f *Fleet) Restart(ctx context.Context, i int) (member.Member, error) {
+	if err := f.StartAgain(i); err != nil {
 		return nil, err
 	}
+	m := f.Members()[i]
 	return m, f.WaitReady(ctx, m)
 }
 
