Keep new work from endpoints whose instance is leaving

Cause: the platform's list says which instances are leaving, the board takes the names, and nothing handed them over. Change: the daemon hands each list to the board. Figures: the test, which lists all engines but one as leaving, failed 3 times of 3 before and passes 5 of 5 after (go test -run Leaving ./internal/entry/daemon).

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
 	"github.com/jacinthstile/jacinthstile/internal/placement/engine"
 	"github.com/jacinthstile/jacinthstile/internal/placement/issuer"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -96,6 +97,7 @@
 		return err
 	}
 	stats := board.New()
+	d.roster.Watch(func(*instance.List) { stats.SetLeaving(d.roster.Leaving()) })
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, scope)
 	budget := retry.New()
