--- /dev/null
+++ b/internal/limit/keeper/bytes_test.go
@@ -0,0 +1,73 @@
+package keeper_test
+
+// This file measures what a loan costs on the wire.
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
+	"github.com/jacinthstile/jacinthstile/internal/limit/seating"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+)
+
+// BenchmarkLoan borrows a unit over loopback and gives it back. Bytes count
+// both directions at the borrower.
+func BenchmarkLoan(b *testing.B) {
+	s := table(1, 2, 1, 0)
+	owner := seating.Owner("acme", 0, 2)
+	lender, borrower := listen(b, owner), listen(b, 1-owner)
+	tables := holder.New()
+	tables.Raise(s)
+	find := func(seat int) (string, bool) {
+		if seat == owner {
+			return lender.address, true
+		}
+		return borrower.address, true
+	}
+	for _, p := range []*peer{lender, borrower} {
+		p.keeper = keeper.New(p.mesh.Self(), 0, tables, p.mesh, find, logr.Discard())
+		p.mesh.Handle(kind.LimitTake, p.keeper.AnswerTake)
+		p.mesh.Handle(kind.LimitGive, p.keeper.AnswerGive)
+	}
+	row := s.Account("acme")
+	sentBefore, receivedBefore := borrower.mesh.Bytes()
+	b.ResetTimer()
+	for range b.N {
+		give, err := borrower.keeper.Take(context.Background(), row, time.Now().Add(deadline))
+		if err != nil {
+			b.Fatal(err)
+		}
+		give()
+		borrower.keeper.Wait()
+	}
+	sent, received := borrower.mesh.Bytes()
+	b.ReportMetric(float64(sent-sentBefore+received-receivedBefore)/float64(b.N), "wire-bytes/op")
+}
+
+type peer struct {
+	mesh    *mesh.Mesh
+	address string
+	keeper  *keeper.Keeper
+}
+
+func listen(b *testing.B, seat int) *peer {
+	m, closeMesh := mesh.New(identity.Identity{Name: "entry", Incarnation: 1, Seat: seat}, nil, logr.Discard())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go m.Serve(context.Background(), l)
+	b.Cleanup(func() {
+		l.Close()
+		closeMesh()
+	})
+	return &peer{mesh: m, address: l.Addr().String()}
+}
--- a/internal/limit/keeper/standing.go
+++ b/internal/limit/keeper/standing.go
@@ -124,3 +124,9 @@
 		s.mu.Unlock()
 	}
 }
+
+// InUse returns how many units of an account this seat uses and has lent.
+func (k *Keeper) InUse(account string) (own, lent int) {
+	k.locked(account, func(st *standing) { own, lent = st.share.InUse() })
+	return own, lent
+}
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -66,7 +66,7 @@
 		Bounds: Bounds{
 			Body:     1 << 20,
 			Queue:    1000,
-			Tickets:  100_000,
+			Tickets:  30_000,
 			Outcomes: 8 << 20,
 			Conns:    10_000,
 			Quiet:    span.Span(30 * time.Second),
--- a/internal/ticket/store/store_test.go
+++ b/internal/ticket/store/store_test.go
@@ -137,3 +137,20 @@
 		})
 	}
 }
+
+// BenchmarkHold issues, claims and completes tickets with a reply of 300 bytes;
+// B/op is what a held ticket takes.
+func BenchmarkHold(b *testing.B) {
+	s := store.New(store.Options{Tickets: b.N + 1, Bytes: 1 << 40, Reply: 1 << 16})
+	b.ReportAllocs()
+	for range b.N {
+		n, err := s.Issue(start, start.Add(life))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := s.Claim(n, one, start); err != nil {
+			b.Fatal(err)
+		}
+		s.Complete(n, store.Outcome{Reply: client.Reply{Status: 201, Body: make([]byte, 300)}}, start)
+	}
+}
