--- /dev/null
+++ b/internal/entry/daemon/status.go
@@ -0,0 +1,49 @@
+package daemon
+
+// This file reports the state of a daemon to operators.
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+)
+
+// counted counts requests in flight, and asks clients to go elsewhere once the daemon is stopping.
+func (d *Daemon) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.flights.Add(1)
+		defer d.flights.Add(-1)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) status() operator.Status {
+	epoch, version := d.tables.Pair()
+	platform, peers := d.feed.Heard()
+	return operator.Status{
+		Name:     d.config.Name,
+		Centre:   d.config.Centre,
+		Ready:    d.feed.Ready() && !d.stopping.Load(),
+		Stopping: d.stopping.Load(),
+		Epoch:    epoch,
+		Version:  version,
+		Refusal:  d.feed.Refusal(),
+		Conflict: d.feed.Conflict(),
+		Platform: ageOf(platform),
+		Peers:    ageOf(peers),
+		Flights:  d.flights.Load(),
+		Tickets:  d.desk.Unused() + d.desk.Running(),
+	}
+}
+
+// ageOf returns the seconds since t, or -1 for the zero time.
+func ageOf(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Seconds()
+}
