Stop new work on leaving endpoints and before leaving dates

A date counts from the longest deadline before it, by each instance's own clock, so that all admitted work has ended by the date whatever the platform does. GET /v1/endpoints reports in flight and the last new call by endpoint.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -44,6 +44,7 @@
 	roster   *roster.Roster
 	members  *membership.Membership
 	mesh     *mesh.Mesh
+	board    *board.Board
 	limits   *keeper.Keeper
 	relay    *relay.Relay
 	desk     *desk.Desk
@@ -88,6 +89,7 @@
 		return err
 	}
 	stats := board.New()
+	d.board = stats
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, scope)
 	budget := retry.New()
@@ -101,7 +103,9 @@
 	if err != nil {
 		return err
 	}
-	d.operator = newServer(operator.New(d.status, metrics.Handler(), access))
+	operators := operator.New(d.status, metrics.Handler(), access)
+	operators.Endpoints(d.endpoints)
+	d.operator = newServer(operators)
 	cleanUps.add(func() { d.operator.Close() })
 	return d.listen(cleanUps)
 }
@@ -137,6 +141,7 @@
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
 	go d.limits.Run(ctx)
+	go d.followLeaving(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.listeners.caller) }()
 	go func() { failed <- d.operator.Serve(d.listeners.operator) }()
--- a/internal/entry/daemon/status.go
+++ b/internal/entry/daemon/status.go
@@ -47,3 +47,25 @@
 	}
 	return time.Since(t).Seconds()
 }
+
+func (d *Daemon) endpoints() operator.Endpoints {
+	out := operator.Endpoints{Name: d.config.Name, Rows: []operator.Endpoint{}}
+	s := d.tables.Current()
+	if s == nil {
+		return out
+	}
+	out.Epoch, out.Version = s.Epoch, s.Version
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		st := d.board.Get(e.Name)
+		row := operator.Endpoint{
+			Name: e.Name, Centre: e.Centre, Weight: s.Weight(e.Name),
+			Leaving: d.board.Leaving(e.Name), Flights: st.InFlight,
+		}
+		if !st.Started.IsZero() {
+			row.Last = &st.Started
+		}
+		out.Rows = append(out.Rows, row)
+	}
+	return out
+}
--- a/internal/platform/instance/instance.go
+++ b/internal/platform/instance/instance.go
@@ -15,12 +15,13 @@
 // Instance is one instance as the platform lists it: an entry instance of ours,
 // or one that an endpoint runs on.
 type Instance struct {
-	Name    string `json:"name"`
-	Address string `json:"address"` // of the peer listener, or of the endpoint
-	Centre  string `json:"centre"`
-	State   string `json:"state"`           // Live or Leaving
-	Entry   bool   `json:"entry,omitempty"` // an entry instance of ours
-	Seat    *int   `json:"seat,omitempty"`  // of an entry instance, as in its settings; nil for none
+	Name     string `json:"name"`
+	Address  string `json:"address"` // of the peer listener, or of the endpoint
+	Centre   string `json:"centre"`
+	State    string `json:"state"`              // Live or Leaving
+	Entry    bool   `json:"entry,omitempty"`    // an entry instance of ours
+	Operator string `json:"operator,omitempty"` // address of an entry instance's operators' listener
+	Seat     *int   `json:"seat,omitempty"`     // of an entry instance, as in its settings; nil for none
 }
 
 // List is one version of the platform's list.
--- a/internal/routing/board/stat.go
+++ b/internal/routing/board/stat.go
@@ -33,6 +33,7 @@
 	Failures int           // failures since the last success
 	Errors   float64       // moving share of failed calls
 	Calls    uint64        // calls that ended
+	Started  time.Time     // when the last call began; zero for never
 	Last     time.Time     // when the last call ended
 	Limit    int           // most own calls in flight, from latency and failures
 
@@ -60,6 +61,7 @@
 func (r *Row) start(now time.Time) {
 	r.stat.InFlight++
 	r.stat.starts += now.UnixNano()
+	r.stat.Started = now
 	r.history.add(now, r.stat.InFlight)
 }
 
--- /dev/null
+++ b/internal/routing/departure/departure_test.go
@@ -0,0 +1,51 @@
+package departure_test
+
+// This file checks when endpoints stop taking work before their date.
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/routing/departure"
+	"github.com/jacinthstile/jacinthstile/internal/table/centre"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+func TestDue(t *testing.T) {
+	const longest = 8 * time.Second
+	date := time.Date(2026, 6, 30, 18, 0, 0, 0, time.UTC)
+	s := &sheet.Sheet{
+		Epoch: 1, Version: 1, Policy: &policy.Policy{Ticket: span.Span(time.Minute), Seats: 1},
+		Centres: []centre.Centre{{Name: "old", Weight: 1, Leave: &date}, {Name: "new", Weight: 1}},
+		Endpoints: []endpoint.Endpoint{
+			{Name: "in-old", Address: "10.0.0.1:1", Centre: "old", Kind: endpoint.Pool, Role: "encode", Weight: 1},
+			{Name: "in-new", Address: "10.0.0.2:1", Centre: "new", Kind: endpoint.Pool, Role: "encode", Weight: 1},
+			{Name: "dated", Address: "10.0.0.3:1", Centre: "new", Kind: endpoint.Pool, Role: "encode", Weight: 1, Leave: &date},
+		},
+		Pipelines: []pipeline.Pipeline{{
+			Name: "p", Deadline: span.Span(longest), Stages: []pipeline.Stage{{Name: "encode", Role: "encode"}},
+		}},
+	}
+	NewWithT(t).Expect(s.Freeze()).To(Succeed())
+	leaving := map[string]bool{"in-old": true, "dated": true}
+	for _, c := range []struct {
+		name string
+		at   time.Duration // before the date
+		want map[string]bool
+	}{
+		{"a day before", 24 * time.Hour, map[string]bool{}},
+		{"just before the longest deadline", longest + time.Millisecond, map[string]bool{}},
+		{"at the longest deadline", longest, leaving},
+		{"after the date", -time.Hour, leaving},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(departure.Due(s, date.Add(-c.at))).To(Equal(c.want))
+		})
+	}
+}
