Serve peers until a graceful stop has ended

Cause: once the callers' listener was shut, Run returned and ended the context of all peer calls, so a ticketed call forwarded to the stopping issuer was answered "unknown" while it ran.

Change: Run waits for Stop; a second Stop waits for the first.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -55,6 +55,7 @@
 	meter    *meter.Meter
 	flights  atomic.Int64
 	stopping atomic.Bool
+	stopped  chan struct{} // closed when Stop returns
 
 	listeners listeners
 }
@@ -62,7 +63,7 @@
 // New builds a daemon and opens its listeners. The returned function closes
 // everything at once; Stop before it lets requests in flight finish.
 func New(c config.Config, log logr.Logger) (*Daemon, func(), error) {
-	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New()}
+	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New(), stopped: make(chan struct{})}
 	var cleanUps cleanUps
 	if err := d.build(&cleanUps); err != nil {
 		cleanUps.run()
@@ -155,10 +156,11 @@
 	d.log.Info("serving", "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress())
 	select {
 	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
 		}
-		return err
+		d.awaitStop(ctx)
+		return nil
 	case <-ctx.Done():
 		return nil
 	}
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -16,11 +16,16 @@
 // Stop ends the daemon gracefully: it turns unready, accepts requests until the
 // balancer has noticed, and returns when all in flight are answered: streams,
 // calls under its tickets and calls of peers. It waits for unused tickets as
-// long again as for the balancer. The error says that ctx ended before.
+// long again as for the balancer. The error says that ctx ended before. A
+// second call waits for the first.
 func (d *Daemon) Stop(ctx context.Context) error {
+	if d.stopping.Swap(true) {
+		d.awaitStop(ctx)
+		return ctx.Err()
+	}
+	defer close(d.stopped)
 	drain := d.config.Bounds.Drain.Duration()
 	d.desk.Shorten(drain)
-	d.stopping.Store(true)
 	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
 	wait(ctx, drain)
 	unused := time.Now().Add(drain)
@@ -38,6 +43,18 @@
 	return ctx.Err()
 }
 
+// awaitStop returns when a graceful stop that is under way has ended: peers are
+// answered until then, though callers no longer are.
+func (d *Daemon) awaitStop(ctx context.Context) {
+	if !d.stopping.Load() {
+		return
+	}
+	select {
+	case <-d.stopped:
+	case <-ctx.Done():
+	}
+}
+
 // waitIdle returns once nothing is in flight, and logs what it waits for.
 func (d *Daemon) waitIdle(ctx context.Context, unusedUntil time.Time) error {
 	poll := time.NewTicker(stopPoll)
--- /dev/null
+++ b/internal/entry/daemon/stop_test.go
@@ -0,0 +1,215 @@
+package daemon_test
+
+// This file stops a daemon with streams and tickets in flight, and empties
+// endpoints under load, and checks what the stand-ins counted.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/examples"
+	"github.com/jacinthstile/jacinthstile/internal/bench/audit"
+	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
+	"github.com/jacinthstile/jacinthstile/internal/bench/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
+	"github.com/jacinthstile/jacinthstile/internal/result/class"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+const (
+	drain    = 500 * time.Millisecond
+	deadline = 8 * time.Second
+	timeout  = 15 * time.Second
+)
+
+// startFleet starts a fleet of the first example whose calls take their time.
+func startFleet(t *testing.T, timing fleet.Timing) *fleet.Fleet {
+	data, err := examples.Files.ReadFile("serikelang/table.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := sheet.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, stop, err := fleet.New(t.Context(), table, fleet.Options{Daemons: 3, Timing: timing, Drain: drain}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return f
+}
+
+// crowd sends requests at once and keeps what became of them.
+type crowd struct {
+	fleet  *fleet.Fleet
+	table  *sheet.Sheet // as it was at the start
+	caller *caller.Caller
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []caller.Outcome
+}
+
+func newCrowd(t *testing.T, f *fleet.Fleet) *crowd {
+	c, closeCaller := caller.New("key-"+f.Table.Accounts[0].Name, timeout, false)
+	t.Cleanup(closeCaller)
+	return &crowd{fleet: f, table: f.Table, caller: c}
+}
+
+func (c *crowd) base(i int) string { return "http://" + c.fleet.Members()[i].Caller() }
+
+func (c *crowd) keep(o caller.Outcome) caller.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+	return o
+}
+
+func (c *crowd) stream(ctx context.Context, i, n int) {
+	p := &c.table.Pipelines[n%len(c.table.Pipelines)]
+	c.keep(c.caller.Pipeline(ctx, c.base(i), p, fmt.Sprintf("question %d", n), n%3 > 0, deadline))
+}
+
+func (c *crowd) book(ctx context.Context, i int, ticket, body string) caller.Outcome {
+	s := c.table.Services[0]
+	return c.caller.Book(ctx, c.base(i), s.Name, s.Operations[0].Path, ticket, body, deadline)
+}
+
+func TestGracefulStopCutsNothing(t *testing.T) {
+	g := NewWithT(t)
+	timing := fleet.DefaultTiming()
+	timing.Service, timing.Token = time.Second, 10*time.Millisecond
+	f := startFleet(t, timing)
+	c := newCrowd(t, f)
+	ctx := t.Context()
+	for n := range 24 {
+		c.wg.Go(func() { c.stream(ctx, 0, n) })
+	}
+	late, o := c.caller.Ticket(ctx, c.base(0))
+	g.Expect(o.Verdict).To(Equal(caller.Answered))
+	used := make([]string, 8)
+	for n := range used {
+		c.wg.Go(func() {
+			used[n], _ = c.caller.Ticket(ctx, c.base(0))
+			c.keep(c.book(ctx, n%3, used[n], fmt.Sprintf(`{"slot":%d}`, n)))
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopped := make(chan error, 1)
+	begin := time.Now()
+	go func() { stopped <- f.Members()[0].Stop(ctx) }()
+	time.Sleep(drain / 2)
+	c.wg.Go(func() { c.stream(ctx, 0, 100) }) // the balancer has not noticed yet
+	time.Sleep(drain)
+	c.keep(c.book(ctx, 1, late, `{"slot":99}`)) // by now only peers reach the issuer
+	g.Expect(<-stopped).To(Succeed())
+	took := time.Since(begin)
+	c.wg.Wait()
+
+	a := &audit.Audit{Entries: f.Ledger.Entries(), Outcomes: c.outcomes}
+	a.Requests()
+	g.Expect(a.Violations()).To(BeEmpty())
+	for _, o := range c.outcomes {
+		g.Expect(o.Verdict).To(Equal(caller.Answered), "%+v", o)
+	}
+	t.Logf("%d requests and tickets in flight, %v to stop, 0 cut", len(c.outcomes), took)
+
+	again := c.book(ctx, 1, used[0], `{"slot":0}`)
+	g.Expect(again.Class).To(Equal(class.Unknown), "the issuer is gone: %+v", again)
+}
+
+// TestEndpointsEmptyUnderLoad takes endpoints out in each way and measures the
+// time to the last new call.
+func TestEndpointsEmptyUnderLoad(t *testing.T) {
+	const bound, workers = 3 * time.Second, 24
+	for _, c := range []struct {
+		name string
+		take func(f *fleet.Fleet, row string) (bound time.Duration, err error)
+	}{
+		{"weight zero", func(f *fleet.Fleet, row string) (time.Duration, error) {
+			return bound, f.Change(func(s *sheet.Sheet) { rowOf(s, row).Weight = 0 })
+		}},
+		{"listed as leaving", func(f *fleet.Fleet, row string) (time.Duration, error) {
+			return bound, listLeaving(f, row)
+		}},
+		{"by its date", func(f *fleet.Fleet, row string) (time.Duration, error) {
+			date := time.Now().Add(deadline + 2*time.Second)
+			return time.Until(date), f.Change(func(s *sheet.Sheet) { rowOf(s, row).Leave = &date })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := startFleet(t, fleet.DefaultTiming())
+			load := newCrowd(t, f)
+			ctx, cancel := context.WithCancel(t.Context())
+			for worker := range workers {
+				load.wg.Go(func() {
+					for n := worker; ctx.Err() == nil; n += workers {
+						load.stream(t.Context(), n%3, n)
+					}
+				})
+			}
+			time.Sleep(time.Second)
+			row := busiest(f)
+			accepted := time.Now()
+			within, err := c.take(f, row)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(bound + time.Second)
+			cancel()
+			load.wg.Wait()
+			a := &audit.Audit{Entries: f.Ledger.Entries(), Outcomes: load.outcomes}
+			a.Requests()
+			last := a.Leave(func(e string) bool { return e == row }, accepted.Add(min(within, bound)))
+			g.Expect(a.Violations()).To(BeEmpty())
+			g.Expect(last).To(BeTemporally(">", accepted.Add(-time.Second)), "the row had work before")
+			t.Logf("%d requests, 0 cut, last new call %v after acceptance", len(load.outcomes), last.Sub(accepted))
+		})
+	}
+}
+
+func rowOf(s *sheet.Sheet, name string) *endpoint.Endpoint {
+	i := slices.IndexFunc(s.Endpoints, func(e endpoint.Endpoint) bool { return e.Name == name })
+	return &s.Endpoints[i]
+}
+
+// busiest returns the engine that got most calls.
+func busiest(f *fleet.Fleet) (name string) {
+	calls := make(map[string]int)
+	for _, e := range f.Ledger.Entries() {
+		if f.Table.Endpoint(e.Endpoint).Kind != endpoint.Engine {
+			continue
+		}
+		calls[e.Endpoint]++
+		if calls[e.Endpoint] > calls[name] {
+			name = e.Endpoint
+		}
+	}
+	return name
+}
+
+func listLeaving(f *fleet.Fleet, row string) error {
+	var list instance.List
+	for _, m := range f.Members() {
+		list.Instances = append(list.Instances, instance.Instance{
+			Name: m.Name(), Centre: m.Centre(), Address: m.Peer(), State: instance.Live, Entry: true,
+		})
+	}
+	e := f.Table.Endpoint(row)
+	list.Instances = append(list.Instances, instance.Instance{
+		Name: e.Name, Centre: e.Centre, Address: e.Address, State: instance.Leaving,
+	})
+	data, err := json.Marshal(list)
+	f.Platform.Put(instance.Key, data)
+	return err
+}
