--- a/internal/bench/caller/pipeline.go
+++ b/internal/bench/caller/pipeline.go
@@ -109,6 +109,7 @@
 func (q question) judge(o *Outcome, text string) {
 	o.Output = text
 	if want := expected(o.Request, q.pipeline, q.input, 0); text != want {
+		o.Partial = strings.HasPrefix(want, text)
 		o.end(Wrong, fmt.Sprintf("got %q, want %q", text, want))
 		return
 	}
@@ -126,7 +127,7 @@
 			continue
 		}
 		if bytes.HasPrefix(data, []byte(`{"error"`)) {
-			o.refuse(data)
+			o.refuse(http.StatusOK, data)
 			return
 		}
 		piece, last, err := q.read(data)
