--- /dev/null
+++ b/internal/flow/relay/keyed_test.go
@@ -0,0 +1,87 @@
+package relay_test
+
+// This file checks when an answer that was lost is asked for again.
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/rig"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+)
+
+// forgetful executes a call once for each key, and cuts the first answers.
+type forgetful struct {
+	cuts int
+
+	mu       sync.Mutex
+	arrivals int
+	runs     map[string]int
+}
+
+func (f *forgetful) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals++
+	if key := r.Header.Get(client.HeaderKey); key == "" || f.runs[key] == 0 {
+		f.runs[key]++
+	}
+	if f.arrivals <= f.cuts {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(client.HeaderRequest, r.Header.Get(client.HeaderRequest))
+	w.WriteHeader(http.StatusCreated)
+}
+
+func TestLostAnswerIsAskedForAgainByKeyAlone(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		keyed    bool
+		cuts     int
+		want     code.Code // zero for a reply
+		arrivals int
+	}{
+		{"keyed", true, 1, 0, 2},
+		{"keyed, lost twice", true, 2, code.AnswerLost, 2},
+		{"not keyed", false, 1, code.AnswerLost, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := &forgetful{cuts: c.cuts, runs: map[string]int{}}
+			server := httptest.NewServer(f)
+			defer server.Close()
+			table := rig.Table(endpoint.Endpoint{
+				Name: "book-1", Address: strings.TrimPrefix(server.URL, "http://"),
+				Kind: endpoint.Service, Role: rig.Service, Limit: 4, Keyed: c.keyed,
+			})
+			g.Expect(table.Freeze()).To(Succeed())
+			r, closeRig := rig.New(table, logr.Discard())
+			defer closeRig()
+			_, err := r.Relay.Run(t.Context(), relay.Order{Account: rig.Account, Service: rig.Service, Call: client.Plain{
+				Request: "r1", Method: http.MethodPost, Path: "/reserve", Key: "ticket-1", Deadline: time.Now().Add(2 * time.Second),
+			}})
+			if c.want == 0 {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(fault.From(err).Code).To(Equal(c.want))
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			g.Expect(f.arrivals).To(Equal(c.arrivals))
+			for key, n := range f.runs {
+				g.Expect(n).To(Equal(1), "runs of key %q", key)
+			}
+		})
+	}
+}
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -125,6 +125,9 @@
 	}
 	start := time.Now()
 	reply, err = r.client.Plain(ctx, lease.Endpoint.Address, call)
+	if call.Key != "" && failure.KindOf(err) == failure.Lost && ctx.Err() == nil {
+		reply, err = r.again(ctx, lease.Endpoint, call, err)
+	}
 	res := board.Result{Took: time.Since(start)}
 	switch {
 	case err != nil:
@@ -142,6 +145,17 @@
 	return reply, err != nil && isSafe(lease.Endpoint, err), err
 }
 
+// again asks an endpoint that remembers keys for an answer that was lost. Where
+// that fails too, the first failure stands, as the call may have run.
+func (r *Relay) again(ctx context.Context, e *endpoint.Endpoint, call client.Plain, lost error) (client.Reply, error) {
+	r.log.Info("asking again by key", "request", call.Request, "endpoint", e.Name, "error", lost.Error())
+	reply, err := r.client.Plain(ctx, e.Address, call)
+	if err != nil {
+		return client.Reply{}, lost
+	}
+	return reply, nil
+}
+
 // isSafe reports whether a failed attempt is known not to have run.
 func isSafe(e *endpoint.Endpoint, err error) bool {
 	switch failure.KindOf(err) {
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -12,8 +12,9 @@
 
 // Rules are the periods that keep two processes from using one unit.
 type Rules struct {
-	Quiet   time.Duration // from the start of a process until it uses its seat; zero for the first of a fleet
-	Longest time.Duration // longest that an admitted request may run
+	Quiet    time.Duration // from the start of a process until it uses its seat; zero for the first of a fleet
+	Longest  time.Duration // longest that an admitted request may run
+	Isolated time.Duration // how long the seat is used after the last answer of a witness
 }
 
 // Gate is the state of one process that has a seat.
@@ -60,17 +61,7 @@
 		return false
 	}
 	g.isOpened = true
-	return g.seats == 1 || within(g.contact, g.isolated(), now)
-}
-
-// isolated returns how long the seat is used after the last answer of a
-// witness: so long that all admitted by then has ended before a replacement
-// uses the seat.
-func (g *Gate) isolated() time.Duration {
-	if g.rules.Quiet == 0 {
-		return g.rules.Longest
-	}
-	return g.rules.Quiet - g.rules.Longest
+	return g.seats == 1 || within(g.contact, g.rules.Isolated, now)
 }
 
 // within reports whether less than d passed since t by both clocks, the
--- a/internal/limit/keeper/keeper.go
+++ b/internal/limit/keeper/keeper.go
@@ -26,6 +26,7 @@
 )
 
 const (
+	isolated   = 3 * probeEvery  // a seat is used this long after the last answer of a witness
 	slack      = time.Second     // a request may end this long after its deadline
 	margin     = 2 * time.Second // for clocks of different rate, and for a table on its way
 	retryAfter = time.Second     // told to callers that met a limit
@@ -90,7 +91,8 @@
 	k.gate.Adopt(s.Policy.Seats, s.Epoch, s.Version, rulesOf(s, k.quiet), time.Now())
 }
 
-// rulesOf derives the periods from the longest deadline of a table.
+// rulesOf derives the periods from the longest deadline of a table: what an
+// isolated process admitted has ended before its replacement uses the seat.
 func rulesOf(s *sheet.Sheet, quiet time.Duration) gate.Rules {
 	var longest time.Duration
 	for _, p := range s.Pipelines {
@@ -101,9 +103,9 @@
 	}
 	longest += slack + margin
 	if quiet > 0 {
-		quiet = max(quiet, longest+2*probeEvery)
+		quiet = max(quiet, longest+isolated)
 	}
-	return gate.Rules{Quiet: quiet, Longest: longest}
+	return gate.Rules{Quiet: quiet, Longest: longest, Isolated: isolated}
 }
 
 // Take counts a request of the account as in flight until give is called. The
--- a/internal/limit/keeper/probe.go
+++ b/internal/limit/keeper/probe.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/limit/gate"
@@ -24,9 +25,11 @@
 	tick := time.NewTicker(probeEvery)
 	defer tick.Stop()
 	for round := 0; ; round++ {
+		var probes sync.WaitGroup
 		for _, seat := range k.probes(round) {
-			k.probe(ctx, seat)
+			probes.Go(func() { k.probe(ctx, seat) })
 		}
+		probes.Wait()
 		k.settle(time.Now())
 		k.forget(time.Now())
 		select {
