Measure many daemon processes on one machine

Change: a trial behind the build tag crowd starts daemons as processes before in-process stand-ins with a table of the given size, and reads processor time, memory, control bytes and platform calls, idle and under light load, and the time of a change.

--- /dev/null
+++ b/internal/bench/crowd/crowd_test.go
@@ -0,0 +1,281 @@
+//go:build crowd
+
+package crowd_test
+
+// This file runs many daemons as processes. The command:
+// go test -tags crowd ./internal/bench/crowd -v -count 1 -timeout 20m -args -daemons 200
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/bench/crowd"
+	"github.com/jacinthstile/jacinthstile/internal/bench/rows"
+	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
+	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
+	"github.com/jacinthstile/jacinthstile/internal/standin/platform"
+	"github.com/jacinthstile/jacinthstile/internal/standin/pool"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+var (
+	daemons  = flag.Int("daemons", 200, "daemon processes")
+	accounts = flag.Int("accounts", 29_000, "client account rows")
+	workers  = flag.Int("workers", 4_000, "endpoint rows")
+	period   = flag.Duration("period", 20*time.Second, "length of each of the two measurements")
+	rate     = flag.Float64("rate", 100, "requests a second in all under light load")
+)
+
+// process is one daemon.
+type process struct {
+	name     string
+	caller   string
+	peer     string
+	operator string
+	cmd      *exec.Cmd
+	before   crowd.Sample
+}
+
+// trial holds what the processes stand before.
+type trial struct {
+	g         *WithT
+	dir       string
+	platform  *platform.Platform
+	source    string
+	table     *sheet.Sheet
+	processes []*process
+}
+
+func TestCrowd(t *testing.T) {
+	g := NewWithT(t)
+	tr := &trial{g: g, dir: t.TempDir(), platform: platform.New()}
+	tr.source = serve(t, tr.platform)
+	tr.publish(t)
+	binary := filepath.Join(tr.dir, "jacinthstiled")
+	build, err := exec.Command("go", "build", "-o", binary, "github.com/jacinthstile/jacinthstile/cmd/jacinthstiled").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), "%s", build)
+	began := time.Now()
+	for i := range *daemons {
+		tr.start(t, binary, i)
+	}
+	tr.list()
+	ready := tr.waitFor(2*time.Minute, func(s operator.Status) bool { return s.Ready })
+	t.Logf("%d daemons, %d accounts, %d endpoints: all ready %v after the first start, %v after the list",
+		*daemons, *accounts, *workers, time.Since(began).Round(time.Millisecond), ready.Round(time.Millisecond))
+	time.Sleep(5 * time.Second)
+
+	tr.measure(t, "idle", func() { time.Sleep(*period) })
+	tr.measure(t, "light", func() { tr.load(*period) })
+	tr.change(t)
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+// publish puts a table whose endpoints all lead to a few stand-ins on the platform.
+func (tr *trial) publish(t *testing.T) {
+	table, err := rows.Table(rows.Options{Accounts: *accounts, Endpoints: *workers, Centres: 10, Models: 23})
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	l := ledger.New()
+	engines := serve(t, engine.New(engine.Options{Name: "llm", Slots: 4096, First: 20 * time.Millisecond, Token: time.Millisecond}, l))
+	pools := serve(t, pool.New(pool.Options{Name: "encode", Slots: 4096, Time: 2 * time.Millisecond}, l))
+	for i := range table.Endpoints {
+		e := &table.Endpoints[i]
+		e.Address = engines
+		if e.Kind == endpoint.Pool {
+			e.Address = pools
+		}
+	}
+	table.Policy.Seats = *daemons
+	tr.table = table
+	tr.put()
+}
+
+func (tr *trial) put() {
+	tr.g.Expect(tr.table.Freeze()).To(Succeed())
+	m, parts, err := manifest.Pack(tr.table)
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	for digest, data := range parts {
+		tr.platform.Put(manifest.PartPrefix+digest, data)
+	}
+	data, err := json.Marshal(m)
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	tr.platform.Put(manifest.Key, data)
+}
+
+// start runs daemon i on ports that were free a moment ago.
+func (tr *trial) start(t *testing.T, binary string, i int) {
+	p := &process{name: fmt.Sprintf("entry-%03d", i), caller: free(tr.g), peer: free(tr.g), operator: free(tr.g)}
+	c := config.Default()
+	c.Name, c.Centre, c.Seat = p.name, tr.table.Centres[i%len(tr.table.Centres)].Name, &i
+	c.Platform = "http://" + tr.source
+	c.Caller.Address, c.Peer.Address, c.Operator.Address = p.caller, p.peer, p.operator
+	c.Log = "error"
+	c.Bounds.Quiet = 0
+	c.Bounds.Start = span.Span(10 * time.Second)
+	data, err := json.Marshal(c)
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	path := filepath.Join(tr.dir, p.name+".json")
+	tr.g.Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+	p.cmd = exec.Command(binary, "--settings", path)
+	p.cmd.Stderr = os.Stderr
+	tr.g.Expect(p.cmd.Start()).To(Succeed())
+	t.Cleanup(func() {
+		p.cmd.Process.Signal(syscall.SIGKILL)
+		p.cmd.Wait()
+	})
+	tr.processes = append(tr.processes, p)
+}
+
+func free(g *WithT) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (tr *trial) list() {
+	var list instance.List
+	for i, p := range tr.processes {
+		list.Instances = append(list.Instances, instance.Instance{
+			Name: p.name, Address: p.peer, Centre: tr.table.Centres[i%len(tr.table.Centres)].Name,
+			State: instance.Live, Entry: true, Seat: &i,
+		})
+	}
+	data, err := json.Marshal(list)
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	tr.platform.Put(instance.Key, data)
+}
+
+// waitFor returns how long it took until all daemons had a status that is good.
+func (tr *trial) waitFor(most time.Duration, good func(operator.Status) bool) time.Duration {
+	began := time.Now()
+	left := slices.Clone(tr.processes)
+	for len(left) > 0 {
+		left = slices.DeleteFunc(left, func(p *process) bool {
+			s, err := status(p.operator)
+			return err == nil && good(s)
+		})
+		tr.g.Expect(time.Since(began)).To(BeNumerically("<", most), "%d daemons left", len(left))
+	}
+	return time.Since(began)
+}
+
+func status(address string) (operator.Status, error) {
+	var s operator.Status
+	resp, err := http.Get("http://" + address + "/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// measure samples all daemons before and after a period and prints what each used.
+func (tr *trial) measure(t *testing.T, name string, wait func()) {
+	for _, p := range tr.processes {
+		p.before = tr.sample(p)
+	}
+	calls, began := tr.platform.Calls(), time.Now()
+	wait()
+	took := time.Since(began).Seconds()
+	platformRate := float64(tr.platform.Calls()-calls) / took
+	var cpu, memory, bytes []float64
+	for _, p := range tr.processes {
+		after := tr.sample(p)
+		lasted := after.Time.Sub(p.before.Time).Seconds()
+		cpu = append(cpu, 100*(after.CPU-p.before.CPU).Seconds()/lasted)
+		memory = append(memory, float64(after.Resident)/(1<<20))
+		moved := 0.0
+		for _, m := range []string{"jacinthstile_peer_sent_bytes", "jacinthstile_peer_received_bytes",
+			"jacinthstile_platform_bytes", "jacinthstile_poll_bytes"} {
+			moved += after.Metrics[m] - p.before.Metrics[m]
+		}
+		bytes = append(bytes, moved/lasted/1024)
+	}
+	t.Logf("%s: CPU %s %% of a core, resident %s MiB, control %s KiB/s, platform %.1f calls/s in all",
+		name, spread(cpu), spread(memory), spread(bytes), platformRate)
+}
+
+func (tr *trial) sample(p *process) crowd.Sample {
+	s, err := crowd.Take(p.cmd.Process.Pid, p.operator)
+	tr.g.Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+// spread writes the median and the greatest value.
+func spread(v []float64) string {
+	slices.Sort(v)
+	return fmt.Sprintf("%.2f (most %.2f)", v[len(v)/2], v[len(v)-1])
+}
+
+// load sends requests at the given rate, one after another's due time.
+func (tr *trial) load(length time.Duration) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	tick := time.NewTicker(time.Duration(float64(time.Second) / *rate))
+	defer tick.Stop()
+	var left = make(chan struct{}, 1000)
+	for end := time.Now().Add(length); time.Now().Before(end); <-tick.C {
+		p := tr.processes[rng.IntN(len(tr.processes))]
+		account := rng.IntN(*accounts)
+		left <- struct{}{}
+		go func() {
+			defer func() { <-left }()
+			ask(p.caller, account)
+		}()
+	}
+	for range cap(left) {
+		left <- struct{}{}
+	}
+}
+
+func ask(address string, account int) {
+	body := []byte(`{"input":"batch","tokens":20}`)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/pipelines/chat-model-03", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", fmt.Sprintf("Bearer key-account-%05d", account))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+}
+
+// change publishes the next version and prints how long it took to be in force everywhere.
+func (tr *trial) change(t *testing.T) {
+	tr.table.Version++
+	tr.table.Endpoints[0].Weight = 0
+	tr.put()
+	took := tr.waitFor(time.Minute, func(s operator.Status) bool { return s.Version == tr.table.Version })
+	t.Logf("change in force on all %d after %v, the poll of all included", len(tr.processes), took.Round(time.Millisecond))
+}
