--- a/internal/bench/crowd/crowd_test.go
+++ b/internal/bench/crowd/crowd_test.go
@@ -44,6 +44,7 @@
 	accounts = flag.Int("accounts", 29_000, "client account rows")
 	workers  = flag.Int("workers", 4_000, "endpoint rows")
 	period   = flag.Duration("period", 20*time.Second, "length of each of the two measurements")
+	level    = flag.String("log", "error", "log level of the daemons")
 	rate     = flag.Float64("rate", 100, "requests a second in all under light load")
 )
 
@@ -65,11 +66,18 @@
 	source    string
 	table     *sheet.Sheet
 	processes []*process
+	port      int // the last that was given
 }
 
+// The ports that daemons listen on.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
 func TestCrowd(t *testing.T) {
 	g := NewWithT(t)
-	tr := &trial{g: g, dir: t.TempDir(), platform: platform.New()}
+	tr := &trial{g: g, dir: t.TempDir(), platform: platform.New(), port: firstPort}
 	tr.source = serve(t, tr.platform)
 	tr.publish(t)
 	binary := filepath.Join(tr.dir, "jacinthstiled")
@@ -130,14 +138,14 @@
 	tr.platform.Put(manifest.Key, data)
 }
 
-// start runs daemon i on ports that were free a moment ago.
+// start runs daemon i.
 func (tr *trial) start(t *testing.T, binary string, i int) {
-	p := &process{name: fmt.Sprintf("entry-%03d", i), caller: free(tr.g), peer: free(tr.g), operator: free(tr.g)}
+	p := &process{name: fmt.Sprintf("entry-%03d", i), caller: tr.free(), peer: tr.free(), operator: tr.free()}
 	c := config.Default()
 	c.Name, c.Centre, c.Seat = p.name, tr.table.Centres[i%len(tr.table.Centres)].Name, &i
 	c.Platform = "http://" + tr.source
 	c.Caller.Address, c.Peer.Address, c.Operator.Address = p.caller, p.peer, p.operator
-	c.Log = "error"
+	c.Log = *level
 	c.Bounds.Quiet = 0
 	c.Bounds.Start = span.Span(10 * time.Second)
 	data, err := json.Marshal(c)
@@ -154,11 +162,18 @@
 	tr.processes = append(tr.processes, p)
 }
 
-func free(g *WithT) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+// free returns the next address below the range from which the kernel gives
+// ports to others, so that it is still free when the daemon starts.
+func (tr *trial) free() string {
+	for {
+		tr.port++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", tr.port))
+		if err == nil {
+			l.Close()
+			return l.Addr().String()
+		}
+		tr.g.Expect(tr.port).To(BeNumerically("<", lastPort), "no port is free")
+	}
 }
 
 func (tr *trial) list() {
