--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -36,8 +36,6 @@
 	Heard       time.Time // when it was last heard directly; zero for never
 	Missed      int       // dials in a row that failed
 	MissedAt    time.Time // the last of them
-
-	listed string // address that the platform's list gives
 }
 
 // Suspect reports whether dials failed of late, and it is too early to try again.
@@ -48,15 +46,6 @@
 	return now.Sub(m.MissedAt) < min(firstRetry<<min(m.Missed-suspectAfter, 10), mostRetry)
 }
 
-// miss counts a failed dial. Where the list gives another address, that one is next.
-func (m *Member) miss(now time.Time) {
-	m.Missed++
-	m.MissedAt = now
-	if m.listed != "" && m.listed != m.Address && m.Missed >= suspectAfter {
-		m.Address, m.Missed = m.listed, 0
-	}
-}
-
 // Membership holds the members by name. It is safe for concurrent use.
 type Membership struct {
 	self string
@@ -74,8 +63,7 @@
 }
 
 // Update takes over a list of the platform. A peer that is no longer listed is
-// kept while it is heard directly. The listed address is used for a peer that
-// was never heard, or that dials no longer reach where it was heard.
+// kept while it is heard directly.
 func (m *Membership) Update(list *instance.List) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -95,9 +83,7 @@
 		if i.Seat != nil && p.Heard.IsZero() {
 			p.Seat = *i.Seat
 		}
-		moved := p.listed != i.Address
-		p.listed = i.Address
-		if moved && (p.Heard.IsZero() || p.Missed >= suspectAfter) {
+		if p.Address != i.Address {
 			p.Address, p.Missed = i.Address, 0
 		}
 	}
@@ -121,7 +107,8 @@
 	}
 }
 
-// Heard notes that a peer said hello. What it says of itself goes before the list.
+// Heard notes that a peer said hello. The address that it gives is used while
+// the list gives none: a listed address may be the only one that routes to it.
 func (m *Membership) Heard(peer identity.Identity, address string) {
 	if peer.Name == m.self {
 		return
@@ -134,7 +121,7 @@
 	}
 	p.Incarnation, p.Centre, p.Heard, p.Missed = peer.Incarnation, peer.Centre, time.Now(), 0
 	p.Seat = peer.Seat
-	if a, err := netip.ParseAddrPort(address); err == nil && !a.Addr().IsUnspecified() {
+	if a, err := netip.ParseAddrPort(address); err == nil && !p.Listed && !a.Addr().IsUnspecified() {
 		p.Address = address
 	}
 }
@@ -146,7 +133,8 @@
 	now := time.Now()
 	for _, p := range m.members {
 		if p.Address == address {
-			p.miss(now)
+			p.Missed++
+			p.MissedAt = now
 		}
 	}
 }
