--- a/internal/settings/config/config_test.go
+++ b/internal/settings/config/config_test.go
@@ -7,6 +7,8 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -55,3 +57,17 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 }
+
+// TestPageNamesEveryField holds docs/SETTINGS.md to the fields that Parse takes.
+func TestPageNamesEveryField(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, v := range []any{config.Config{}, config.Operator{}, config.Listener{}, config.Bounds{}} {
+		for _, field := range reflect.VisibleFields(reflect.TypeOf(v)) {
+			if name, _, _ := strings.Cut(field.Tag.Get("json"), ","); name != "" {
+				g.Expect(string(page)).To(ContainSubstring("`" + name + "`"))
+			}
+		}
+	}
+}
