--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -26,7 +26,6 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
 	"github.com/jacinthstile/jacinthstile/internal/placement/engine"
 	"github.com/jacinthstile/jacinthstile/internal/placement/issuer"
-	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -50,6 +49,7 @@
 	members  *membership.Membership
 	issuer   *issuer.Issuer
 	mesh     *mesh.Mesh
+	board    *board.Board
 	limits   *keeper.Keeper
 	relay    *relay.Relay
 	desk     *desk.Desk
@@ -58,6 +58,7 @@
 	meter    *meter.Meter
 	flights  atomic.Int64
 	stopping atomic.Bool
+	stopped  chan struct{} // closed when Stop returns
 
 	listeners listeners
 }
@@ -65,7 +66,7 @@
 // New builds a daemon and opens its listeners. The returned function closes
 // everything at once; Stop before it lets requests in flight finish.
 func New(c config.Config, log logr.Logger) (*Daemon, func(), error) {
-	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New()}
+	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New(), stopped: make(chan struct{})}
 	var cleanUps cleanUps
 	if err := d.build(&cleanUps); err != nil {
 		cleanUps.run()
@@ -97,7 +98,7 @@
 		return err
 	}
 	stats := board.New()
-	d.roster.Watch(func(*instance.List) { stats.SetLeaving(d.roster.Leaving()) })
+	d.board = stats
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, scope)
 	budget := retry.New()
@@ -111,7 +112,9 @@
 	if err != nil {
 		return err
 	}
-	d.operator = newServer(operator.New(d.status, metrics.Handler(), access))
+	operators := operator.New(d.status, metrics.Handler(), access)
+	operators.Endpoints(d.endpoints)
+	d.operator = newServer(operators)
 	cleanUps.add(func() { d.operator.Close() })
 	return d.listen(cleanUps)
 }
@@ -150,6 +153,7 @@
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
 	go d.limits.Run(ctx)
+	go d.followLeaving(ctx)
 	go d.issuer.Run(ctx)
 	go d.gauge(ctx)
 	failed := make(chan error, 3)
@@ -159,10 +163,11 @@
 	d.log.Info("serving", "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress())
 	select {
 	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
 		}
-		return err
+		d.awaitStop(ctx)
+		return nil
 	case <-ctx.Done():
 		return nil
 	}
