--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -57,6 +57,7 @@
 	operator *http.Server
 	meter    *meter.Meter
 	flights  atomic.Int64
+	arrived  atomic.Int64 // when the last request of a caller came, in nanoseconds of the Unix epoch
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when Stop returns
 
--- a/internal/entry/daemon/status.go
+++ b/internal/entry/daemon/status.go
@@ -12,6 +12,7 @@
 // counted counts requests in flight, and asks clients to go elsewhere once the daemon is stopping.
 func (d *Daemon) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.arrived.Store(time.Now().UnixNano())
 		d.flights.Add(1)
 		defer d.flights.Add(-1)
 		if d.stopping.Load() {
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	mostDrains   = 4 // drain times at most, where requests keep coming
 	stopPoll     = 20 * time.Millisecond
 	stopLogEvery = time.Second
 	flushWait    = 50 * time.Millisecond // for the last answers to peers to leave
@@ -27,7 +28,7 @@
 	drain := d.config.Bounds.Drain.Duration()
 	d.desk.Shorten(drain)
 	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
-	wait(ctx, drain)
+	d.waitUnnoticed(ctx, drain)
 	unused := time.Now().Add(drain)
 	done := make(chan error, 1)
 	go func() { done <- d.callers.Shutdown(ctx) }()
@@ -43,6 +44,20 @@
 	return ctx.Err()
 }
 
+// waitUnnoticed accepts requests for the drain time, and on while they keep
+// coming, since a balancer that still sends has not noticed.
+func (d *Daemon) waitUnnoticed(ctx context.Context, drain time.Duration) {
+	latest := time.Now().Add(mostDrains * drain)
+	wait(ctx, drain)
+	for ctx.Err() == nil && time.Now().Before(latest) {
+		silent := time.Since(time.Unix(0, d.arrived.Load()))
+		if silent >= drain/2 {
+			return
+		}
+		wait(ctx, drain/2-silent)
+	}
+}
+
 // awaitStop returns when a graceful stop that is under way has ended: peers are
 // answered until then, though callers no longer are.
 func (d *Daemon) awaitStop(ctx context.Context) {
--- a/internal/entry/daemon/stop_test.go
+++ b/internal/entry/daemon/stop_test.go
@@ -108,9 +108,11 @@
 	stopped := make(chan error, 1)
 	begin := time.Now()
 	go func() { stopped <- f.Members()[0].Stop(ctx) }()
-	time.Sleep(drain / 2)
-	c.wg.Go(func() { c.stream(ctx, 0, 100) }) // the balancer has not noticed yet
-	time.Sleep(drain)
+	for n := range 15 { // the balancer is late to notice
+		time.Sleep(drain / 5)
+		c.wg.Go(func() { c.stream(ctx, 0, 100+n) })
+	}
+	time.Sleep(drain * 3 / 4)
 	c.keep(c.book(ctx, 1, late, `{"slot":99}`)) // by now only peers reach the issuer
 	g.Expect(<-stopped).To(Succeed())
 	took := time.Since(begin)
--- a/internal/limit/keeper/loan.go
+++ b/internal/limit/keeper/loan.go
@@ -84,8 +84,9 @@
 	return "", why
 }
 
-// holders returns the seats with a unit of the account, but this one, those
-// with most units first and equals at random.
+// holders returns the seats with a unit of the account, but this one: first the
+// one that lent last, as a session to it is open, then those with most units,
+// and equals at random.
 func (l *loan) holders() []int {
 	table, row := l.keeper.tables.Current(), l.keeper.row(l.account)
 	if row == nil {
@@ -104,6 +105,16 @@
 	}
 	rand.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
 	slices.SortStableFunc(seats, func(a, b int) int { return cmp.Compare(held[b], held[a]) })
+	last := -1
+	l.keeper.locked(l.account, func(st *standing) {
+		if seat, known := st.lender[l.token]; known {
+			last = slices.Index(seats, seat)
+		}
+	})
+	if last > 0 {
+		seat := seats[last]
+		seats = slices.Insert(slices.Delete(seats, last, last+1), 0, seat)
+	}
 	return seats
 }
 
@@ -122,6 +133,9 @@
 		r := st.met[l.key(seat)]
 		if verdict != limitpb.Verdict_VERDICT_BUSY {
 			delete(st.met, l.key(seat))
+			if verdict == limitpb.Verdict_VERDICT_GRANTED {
+				st.lender[l.token] = seat
+			}
 			return
 		}
 		st.met[l.key(seat)] = refusals{run: r.run + 1, last: time.Now()}
--- a/internal/limit/keeper/standing.go
+++ b/internal/limit/keeper/standing.go
@@ -29,6 +29,7 @@
 	cap    count
 	tokens count
 	met    map[int]refusals // of the holders of other seats
+	lender map[bool]int     // the seat that lent last; true for a token of the rate
 }
 
 // count is how many of an account's units this seat may use, and the state for
@@ -46,7 +47,7 @@
 	defer s.mu.Unlock()
 	st := s.accounts[name]
 	if st == nil {
-		st = &standing{share: share.New(), met: make(map[int]refusals)}
+		st = &standing{share: share.New(), met: make(map[int]refusals), lender: make(map[bool]int)}
 		s.accounts[name] = st
 	}
 	f(st)
