--- a/internal/bench/matrix/page.go
+++ b/internal/bench/matrix/page.go
@@ -24,6 +24,8 @@
   The others share the test's process. Answers that the fault itself took from a caller are excused while it lasts.
 - The configuration service is down or stale for all daemons but one.
 - Peers reach one another through relays that a partition cuts.
+- The placement step has one issuer of orders, since issuers take turns of many seconds. The engine that it moves takes
+  old orders where an instance or the configuration service is at fault, and refuses them elsewhere.
 
 held: the suite checks this cell. red: KNOWN-RED.txt lists it.
 `
