--- a/internal/endpoint/client/stage.go
+++ b/internal/endpoint/client/stage.go
@@ -98,7 +98,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return call.Answer{}, refusal(resp)
 	}
-	r := &stageReader{call: q, sink: sink, next: q.From}
+	r := &stageReader{call: q, head: headOf(q), sink: sink, next: q.From}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return r.stream(ctx, resp.Body)
 	}
@@ -132,6 +132,7 @@
 // stageReader checks each event of one call's answer.
 type stageReader struct {
 	call    call.Call
+	head    []byte // see headOf
 	sink    func(call.Token) error
 	next    int // index of the token that must come next
 	dropped int
@@ -190,6 +191,9 @@
 }
 
 func (r *stageReader) decode(data []byte) error {
+	if r.quick(data) {
+		return nil
+	}
 	r.event = wireEvent{}
 	if err := json.Unmarshal(data, &r.event); err != nil {
 		return failure.New(failure.Lost, err, "decoding the answer")
