--- a/internal/flow/runner/runner.go
+++ b/internal/flow/runner/runner.go
@@ -88,7 +88,7 @@
 		wait += r.dispatcher.Wait(st.Role, modelOf(j, st), j.Account)
 	}
 	left := time.Until(j.Deadline)
-	verdict := r.times.Fits(j.Pipeline, 0, left, wait)
+	verdict := r.times.Fits(j.Pipeline, 0, left-r.margin(j.Pipeline, 0), wait)
 	if verdict.Fits || left > 0 && r.probes.take(j.Pipeline.Name, time.Now()) {
 		return nil
 	}
@@ -102,6 +102,17 @@
 	return f
 }
 
+// margin returns the time by which stage i and all later ones may take longer
+// than their means.
+func (r *Runner) margin(p *pipeline.Pipeline, i int) time.Duration {
+	var sum time.Duration
+	for ; i < len(p.Stages); i++ {
+		_, deviation := r.times.Time(p, i)
+		sum += deviation
+	}
+	return sum
+}
+
 func (r *Runner) count(name, stage string) {
 	r.scope.Tagged(map[string]string{"stage": stage}).Counter(name).Inc(1)
 }
--- a/internal/flow/runner/stage.go
+++ b/internal/flow/runner/stage.go
@@ -166,7 +166,8 @@
 // hedgeDelay returns how long the first answer may take before a hedge.
 func (s *stage) hedgeDelay() time.Duration {
 	mean, deviation := s.firsts.Time(s.job.Pipeline, s.index)
-	delay, _ := retry.Delay(mean, deviation)
+	spare := time.Until(s.job.Deadline) - 2*s.times.Need(s.job.Pipeline, s.index)
+	delay, _ := retry.Delay(mean, deviation, spare, s.tables.Current().Policy.Patience())
 	if delay == 0 {
 		return mostStall
 	}
@@ -216,7 +217,8 @@
 
 // latest returns the last moment at which the stage is worth to start.
 func (s *stage) latest() time.Time {
-	return s.job.Deadline.Add(-s.times.Need(s.job.Pipeline, s.index))
+	p := s.job.Pipeline
+	return s.job.Deadline.Add(-s.times.Need(p, s.index) - s.margin(p, s.index))
 }
 
 // until returns the moment after which the stage's answer is of no use: the
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -28,6 +28,7 @@
 	Blocks []uint64      // blocks of the prompt, see prefix.Blocks
 	Expect time.Duration // service time to assume where none was measured
 	Tried  []string      // endpoints that failed this call already
+	Again  bool          // a tried endpoint may be chosen where no other is usable
 	Now    time.Time
 }
 
@@ -87,6 +88,15 @@
 	if len(g.members) == 0 {
 		return Choice{Reason: Reason{Ground: NoRow}}
 	}
+	c := p.choose(g, q)
+	if c.Reason.Ground == Unusable && q.Again && len(q.Tried) > 0 {
+		q.Tried = nil
+		return p.choose(g, q)
+	}
+	return c
+}
+
+func (p *Picker) choose(g *group, q Query) Choice {
 	switch r := p.rule.(type) {
 	case rule.Random:
 		return p.plain(g, q, 1, false)
@@ -97,7 +107,7 @@
 	case rule.RoundRobin:
 		return p.plain(g, q, 1, true)
 	case rule.Predicted:
-		g.judge(p.board, q.Now)
+		g.judge(q.Now)
 		return p.predict(g, q)
 	default:
 		panic(fmt.Sprintf("picker: got rule %T, want one of package rule", r))
