--- a/internal/bench/fleet/publish.go
+++ b/internal/bench/fleet/publish.go
@@ -93,11 +93,22 @@
 	for _, m := range members {
 		list.Instances = append(list.Instances, instance.Instance{
 			Name: m.Name(), Centre: m.Centre(), Address: address(m), State: instance.Live, Entry: true,
+			Seat: seatOf(m.Name()),
 		})
 	}
 	return list
 }
 
+// seatOf returns the seat in the settings of the daemon of that name.
+func seatOf(name string) *int {
+	var i int
+	if _, err := fmt.Sscanf(name, nameFormat, &i); err != nil {
+		return nil
+	}
+	i--
+	return &i
+}
+
 // gate returns the gate from one daemon to another, or to itself. A daemon that
 // started again has other addresses, so its gates are replaced.
 func (f *Fleet) gate(from string, to member.Member) (*gate.Gate, error) {
--- a/internal/endpoint/client/cancel.go
+++ b/internal/endpoint/client/cancel.go
@@ -13,7 +13,7 @@
 
 const (
 	cancelTimeout = time.Second
-	mostCancels   = 256 // under way at once
+	mostBehind    = 1024 // cancellations and ends of answers under way at once
 )
 
 // Cancel tells an endpoint in the background that the answer of a call is of no
@@ -21,13 +21,7 @@
 // not matter, and it is left out when too many are under way. The closing of
 // the call's own connection tells the endpoint the same.
 func (c *Client) Cancel(address string, q call.Call) {
-	select {
-	case c.cancels <- struct{}{}:
-	default:
-		return
-	}
-	c.running.Go(func() {
-		defer func() { <-c.cancels }()
+	c.begin(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		url := "http://" + address + "/v1/stages/" + q.Request + "/" + q.Stage + "/" + strconv.Itoa(q.Attempt)
@@ -37,3 +31,35 @@
 		}
 	})
 }
+
+// begin runs f in the background and reports true, unless the client is closed
+// or busy with as many as it may be. An attempt that lost its race may end
+// after the close.
+func (c *Client) begin(f func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.behind >= mostBehind {
+		return false
+	}
+	c.behind++
+	c.running.Go(func() {
+		defer c.end()
+		f()
+	})
+	return true
+}
+
+func (c *Client) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind--
+}
+
+// close refuses further work in the background and waits for what is under way.
+func (c *Client) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.running.Wait()
+	c.pooled.CloseIdleConnections()
+}
--- a/internal/endpoint/client/stage.go
+++ b/internal/endpoint/client/stage.go
@@ -120,13 +120,17 @@
 // recycle reads the body to its end in the background, so that the connection
 // can carry the next call. The answer is whole already.
 func (c *Client) recycle(body io.ReadCloser, cancel func()) {
-	c.running.Go(func() {
+	begun := c.begin(func() {
 		defer cancel()
 		timer := time.AfterFunc(lingerTimeout, cancel)
 		defer timer.Stop()
 		io.CopyN(io.Discard, body, mostRest)
 		body.Close()
 	})
+	if !begun {
+		cancel()
+		body.Close()
+	}
 }
 
 // stageReader checks each event of one call's answer.
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -62,6 +62,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		setCode(w.Header(), code.StageFailed)
 	}
+	limitWrite(w)
 	w.WriteHeader(reply.Status)
 	w.Write(reply.Body)
 	return nil
@@ -113,7 +114,7 @@
 	if !o.Idempotent && ticket != "" {
 		return s.desk.Run(ctx, ticket, o)
 	}
-	give, err := s.limits.Take(ctx, v.account, v.table.Policy.Seats)
+	give, err := s.limits.Take(ctx, v.account, o.Call.Deadline)
 	if err != nil {
 		return client.Reply{}, err
 	}
