--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -75,7 +75,7 @@
 	if g.waiting() == 0 {
 		return 0
 	}
-	return g.queue.Wait(account, weightOf(d.tables.Current(), account))
+	return g.wait(account, weightOf(d.tables.Current(), account))
 }
 
 // try picks an endpoint. It reports full when a call may wait for one.
