--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -39,14 +38,14 @@
 	pooled *http.Transport
 	single *http.Transport
 
-	running sync.WaitGroup // cancellations under way
+	running sync.WaitGroup // what goes on in the background
 	mu      sync.Mutex
-	cancels int // how many are under way
+	behind  int // how many of it
 	closed  bool
 }
 
 // New returns a client and a function that closes its idle connections and
-// waits for its cancellations.
+// waits for what it does in the background.
 func New() (*Client, func()) {
 	c := &Client{pooled: newTransport(), single: newTransport()}
 	// net/http repeats a request by itself only on a reused connection.
@@ -141,22 +140,3 @@
 	}
 	return failure.New(kind, nil, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 }
-
-func (c *Client) getJSON(ctx context.Context, url string, into any) error {
-	resp, err := c.send(ctx, request{method: http.MethodGet, url: url})
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return refusal(resp)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
-	if err == nil {
-		err = json.Unmarshal(data, into)
-	}
-	if err != nil {
-		return failure.New(failure.Lost, err, "reading %s", url)
-	}
-	return nil
-}
--- a/internal/flow/runner/attempt.go
+++ b/internal/flow/runner/attempt.go
@@ -27,6 +27,7 @@
 		Query: picker.Query{
 			Role: s.stage.Role, Model: modelOf(s.job, s.stage), Blocks: s.blocks,
 			Expect: s.stage.Time.Duration(), Tried: append([]string(nil), s.tried...),
+			Again: !hedge && !s.stage.Once,
 		},
 		Latest: s.latest(),
 		NoWait: hedge,
@@ -46,7 +47,7 @@
 	}
 	res.endpoint = lease.Endpoint.Name
 	start := time.Now()
-	q := s.call(ask.Attempt, s.stream.touch(start, lease.Load), lease)
+	q := s.call(ask.Attempt, s.stream.touch(ask.Attempt, lease.Endpoint.Name, lease.Load, start), lease)
 	res.answer, res.err = s.client.Do(ctx, lease.Endpoint.Address, q, func(t call.Token) error {
 		if res.first == 0 {
 			res.first = time.Since(start)
@@ -79,6 +80,7 @@
 		Prompt:   s.prompt,
 		From:     from,
 		Tokens:   tokensOf(s.job, s.stage),
+		Import:   s.handle,
 		Once:     s.stage.Once,
 		Check:    lease.Check,
 	}
--- a/internal/flow/runner/runner.go
+++ b/internal/flow/runner/runner.go
@@ -26,6 +26,9 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
 )
 
+// mostMargin is the part of a pipeline's deadline that is kept in reserve at most.
+const mostMargin = 8
+
 // Sink receives the tokens of the last stage, each once and in order, from one
 // goroutine at a time and never after Run has returned. It may be nil.
 type Sink func(call.Token) error
@@ -88,7 +91,7 @@
 		wait += r.dispatcher.Wait(st.Role, modelOf(j, st), j.Account)
 	}
 	left := time.Until(j.Deadline)
-	verdict := r.times.Fits(j.Pipeline, 0, left, wait)
+	verdict := r.times.Fits(j.Pipeline, 0, left-r.margin(j.Pipeline, 0), wait)
 	if verdict.Fits {
 		return nil
 	}
@@ -106,6 +109,17 @@
 	return f
 }
 
+// margin returns the time by which stage i and all later ones may take longer
+// than their means, at most a mostMargin-th part of the pipeline's deadline.
+func (r *Runner) margin(p *pipeline.Pipeline, i int) time.Duration {
+	var sum time.Duration
+	for ; i < len(p.Stages); i++ {
+		_, deviation := r.times.Time(p, i)
+		sum += deviation
+	}
+	return min(sum, p.Deadline.Duration()/mostMargin)
+}
+
 func (r *Runner) count(name, stage string) {
 	r.scope.Tagged(map[string]string{"stage": stage}).Counter(name).Inc(1)
 }
