Hold the requests of a graceful stop beyond the balancer's time

Also, a killed daemon's port may be taken by another cell's server, whose 404 counted as an answer of ours: an answer without the request's identity now counts as none, which is as strict, for it breaks the promise of the whole answer unless the daemon was killed.

--- a/internal/bench/caller/caller.go
+++ b/internal/bench/caller/caller.go
@@ -96,6 +96,11 @@
 		return nil
 	}
 	o.Request = resp.Header.Get(headerRequest)
+	if o.Request == "" {
+		resp.Body.Close()
+		o.end(Gone, "what answered is no daemon, or forgot the request's identity")
+		return nil
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		defer resp.Body.Close()
 		data, err := io.ReadAll(resp.Body)
--- a/internal/bench/matrix/step.go
+++ b/internal/bench/matrix/step.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
 	"github.com/jacinthstile/jacinthstile/internal/standin/trouble"
@@ -150,8 +151,12 @@
 	r.strike()
 }
 
-// actStop stops a daemon while a stream and a booking are in flight there.
+// actStop stops a daemon while a stream and a booking are in flight there, both
+// held until the balancer's time is over.
 func actStop(ctx context.Context, r *run) {
+	hold := func() { time.Sleep(3 * drainWait) }
+	r.trouble.Hook(trouble.Hook{Stage: " generate", At: midStream, Do: hold})
+	r.trouble.Hook(trouble.Hook{Stage: " POST /bookings", At: trouble.Arrival, Do: hold})
 	streams := r.async(func() { r.pipeline(ctx, issuer) })
 	bookings := r.async(func() { r.book(ctx, issuer, other) })
 	r.strike()
