--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -28,9 +28,10 @@
 )
 
 const (
-	loopback  = "127.0.0.1:0"
-	startWait = 20 * time.Second
-	pollEvery = 5 * time.Millisecond
+	nameFormat = "entry-%d" // of daemons, from 1
+	loopback   = "127.0.0.1:0"
+	startWait  = 20 * time.Second
+	pollEvery  = 5 * time.Millisecond
 )
 
 // Start starts one daemon with the given settings.
@@ -128,7 +129,7 @@
 // settings returns the settings of daemon i, whose platform view has an address of its own.
 func (f *Fleet) settings(i int) (config.Config, error) {
 	c := config.Default()
-	c.Name = fmt.Sprintf("entry-%d", i+1)
+	c.Name = fmt.Sprintf(nameFormat, i+1)
 	c.Centre = f.centreOf(i)
 	c.Seat = &i
 	address, err := f.serve(f.Platform.View(c.Name))
@@ -137,6 +138,9 @@
 	}
 	c.Platform = "http://" + address
 	c.Caller.Address, c.Peer.Address, c.Operator.Address = loopback, loopback, loopback
+	if i >= len(f.Members()) {
+		c.Bounds.Quiet = 0 // no process had this seat before
+	}
 	c.Bounds.Drain = span.Span(f.options.Drain)
 	return c, nil
 }
