--- /dev/null
+++ b/internal/admission/ceiling/ceiling_test.go
@@ -0,0 +1,67 @@
+package ceiling_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/ceiling"
+)
+
+func TestLimitFollowsLatency(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 5, 4, 9, 0, 0, 0, time.UTC)
+	var c ceiling.Ceiling
+	start := c.Limit()
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		c.Good(100*time.Millisecond, c.Limit(), now)
+	}
+	grown := c.Limit()
+	g.Expect(grown).To(BeNumerically(">", start))
+	for range 20 {
+		now = now.Add(time.Second)
+		c.Good(time.Second, grown, now)
+	}
+	g.Expect(c.Limit()).To(BeNumerically("<", grown/2), "ten times slower")
+	for range 100 {
+		now = now.Add(time.Second)
+		c.Bad(now)
+	}
+	g.Expect(c.Limit()).To(Equal(1))
+}
+
+func TestIdleEndpointDoesNotGrow(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 5, 4, 9, 0, 0, 0, time.UTC)
+	var c ceiling.Ceiling
+	start := c.Limit()
+	for range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		c.Good(100*time.Millisecond, 1, now)
+	}
+	g.Expect(c.Limit()).To(Equal(start))
+}
+
+// The shares of all seats add up to the limit and differ by one at most.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 100).Draw(t, "limit")
+		seats := rapid.IntRange(1, 420).Draw(t, "seats")
+		name := rapid.String().Draw(t, "name")
+		sum, least, most := 0, limit, 0
+		for seat := range seats {
+			n := ceiling.Share(limit, seat, seats, name)
+			sum += n
+			least, most = min(least, n), max(most, n)
+		}
+		if sum != limit || most-least > 1 {
+			t.Fatalf("got sum %d and shares of %d to %d, want %d", sum, least, most, limit)
+		}
+	})
+	g := NewWithT(t)
+	g.Expect(ceiling.Share(16, -1, 3, "e")).To(BeZero())
+	g.Expect(ceiling.Share(16, 3, 3, "e")).To(BeZero())
+}
--- /dev/null
+++ b/internal/admission/retry/retry_test.go
@@ -0,0 +1,77 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
+)
+
+var share = retry.Share{Retry: 0.1, Hedge: 0.02}
+
+func TestExtraWorkStaysWithinTheShare(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.New()
+	const first, reserve = 10_000, 3
+	retries, hedges := 0, 0
+	for range first {
+		b.First(share)
+		if b.Hedge(0.5) {
+			hedges++
+		}
+		for b.Retry() {
+			retries++
+		}
+	}
+	g.Expect(retries + hedges).To(BeNumerically("<=", first*share.Retry+reserve))
+	g.Expect(retries + hedges).To(BeNumerically(">=", 0.99*first*share.Retry))
+	g.Expect(hedges).To(BeNumerically("<=", first*share.Hedge))
+}
+
+func TestNoHedgeAtOverload(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.New()
+	for range 1000 {
+		b.First(share)
+	}
+	g.Expect(b.Hedge(retry.Overload)).To(BeFalse())
+	g.Expect(b.Hedge(retry.Overload - 0.01)).To(BeTrue())
+}
+
+func TestQuietTimeSavesLittleUp(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.New()
+	for range 1_000_000 {
+		b.First(share)
+	}
+	n := 0
+	for b.Retry() {
+		n++
+	}
+	g.Expect(n).To(BeNumerically("<=", 50))
+}
+
+func TestDelay(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		mean, deviation, spare time.Duration
+		patience               float64
+		want                   time.Duration
+	}{
+		{"usual wait", time.Second, 100 * time.Millisecond, 0, 0, 1400 * time.Millisecond},
+		{"never at once", time.Microsecond, 0, 0, 0, 20 * time.Millisecond},
+		{"time to spare", time.Second, 0, 6 * time.Second, 0.5, 3 * time.Second},
+		{"none to spare", time.Second, 0, -6 * time.Second, 0.5, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got, ok := retry.Delay(c.mean, c.deviation, c.spare, c.patience)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+	_, ok := retry.Delay(0, 0, time.Second, 1)
+	NewWithT(t).Expect(ok).To(BeFalse(), "nothing measured")
+}
--- /dev/null
+++ b/internal/admission/schedule/schedule_test.go
@@ -0,0 +1,65 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/schedule"
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+)
+
+func stages(times ...time.Duration) *pipeline.Pipeline {
+	p := &pipeline.Pipeline{Name: "p"}
+	for i, d := range times {
+		p.Stages = append(p.Stages, pipeline.Stage{Name: string(rune('a' + i)), Time: span.Span(d)})
+	}
+	return p
+}
+
+func TestBudgetLeavesWhatLaterStagesNeed(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New()
+	p := stages(10*time.Millisecond, time.Second)
+	for range 100 {
+		s.Observe("p", "a", 10*time.Millisecond)
+		s.Observe("p", "b", 2*time.Second)
+	}
+	g.Expect(s.Budget(p, 0, 8*time.Second)).To(BeNumerically("~", 6*time.Second, 100*time.Millisecond))
+	g.Expect(s.Budget(p, 1, 8*time.Second)).To(Equal(8 * time.Second))
+	g.Expect(s.Budget(p, 0, time.Second)).To(BeNumerically("~", 5*time.Millisecond, time.Millisecond), "too little for all: in proportion")
+	g.Expect(s.Budget(p, 0, -time.Second)).To(BeZero())
+}
+
+func TestFitsRefusesWhatCanNotBeFinished(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New()
+	p := stages(100*time.Millisecond, time.Second)
+	g.Expect(s.Fits(p, 0, 8*time.Second, 0).Fits).To(BeTrue())
+	v := s.Fits(p, 0, 8*time.Second, 9*time.Second)
+	g.Expect(v.Fits).To(BeFalse())
+	g.Expect(v.After).To(BeNumerically(">=", time.Second), "when to come back")
+	g.Expect(v.After).To(BeNumerically("<=", 30*time.Second))
+	g.Expect(s.Fits(p, 1, 100*time.Millisecond, 0).Fits).To(BeFalse())
+}
+
+// A budget is never negative and never more than what is left.
+func TestBudgetIsWithinWhatIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := schedule.New()
+		var times []time.Duration
+		for range rapid.IntRange(1, 6).Draw(t, "stages") {
+			times = append(times, time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "time")))
+		}
+		p := stages(times...)
+		left := time.Duration(rapid.Int64Range(-int64(time.Second), int64(20*time.Second)).Draw(t, "left"))
+		for i := range p.Stages {
+			if b := s.Budget(p, i, left); b < 0 || b > max(0, left) {
+				t.Fatalf("got budget %s of %s", b, left)
+			}
+		}
+	})
+}
