Start queued calls where their prompt is cached; leave rows without a share out

(2) With more seats than places in a limit (420 seats, limits of 16) most rows are not this seat's, and drawing among all of them found none.

Change: PopBest prefers, within the account whose turn it is, a call whose prompt the freed endpoint holds, unless the earliest has under 2 s to wait. Groups hold only rows with a share; NoShare says when there is none.

--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -96,6 +96,13 @@
 // PopIf is Pop among the items whose value passes can, such as those that a
 // freed endpoint could serve.
 func (q *Queue[T]) PopIf(now time.Time, can func(T) bool) *Item[T] {
+	return q.PopBest(now, can, nil)
+}
+
+// PopBest is PopIf that, within the account whose turn it is, prefers the item
+// of the greatest gain to the earliest, as long as the earliest has time to
+// wait. Only some of the earliest items are compared. A nil gain prefers none.
+func (q *Queue[T]) PopBest(now time.Time, can func(T) bool, gain func(T) int) *Item[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var best *lane[T]
@@ -111,6 +118,9 @@
 	if best == nil {
 		return nil
 	}
+	if gain != nil && first.Latest.Sub(now) > urgent {
+		first = best.gainful(first, now, can, gain)
+	}
 	q.take(first)
 	q.clock = best.pass
 	best.pass += 1 / best.weight
@@ -189,8 +199,10 @@
 }
 
 const (
-	gapGain = 1.0 / 32
-	mostGap = time.Second // a longer time between two pops says that nobody waited
+	gapGain  = 1.0 / 32
+	compared = 16              // items whose gain is compared
+	urgent   = 2 * time.Second // an item with less time than this before its Latest is not passed over
+	mostGap  = time.Second     // a longer time between two pops says that nobody waited
 )
 
 func (p *pace) measure(now time.Time) {
@@ -246,3 +258,17 @@
 	}
 	return first
 }
+
+// gainful returns the item of the greatest gain among the first ones, or first where none has any.
+func (l *lane[T]) gainful(first *Item[T], now time.Time, can func(T) bool, gain func(T) int) *Item[T] {
+	most := gain(first.Value)
+	for _, it := range l.items[:min(compared, len(l.items))] {
+		if it == first || it.Latest.Before(now) || !can(it.Value) {
+			continue
+		}
+		if n := gain(it.Value); n > most {
+			first, most = it, n
+		}
+	}
+	return first
+}
--- a/internal/admission/queue/queue_test.go
+++ b/internal/admission/queue/queue_test.go
@@ -159,3 +159,17 @@
 		}
 	})
 }
+
+func TestPopBestPrefersGainUntilTheEarliestIsUrgent(t *testing.T) {
+	g := NewWithT(t)
+	all := func(int) bool { return true }
+	gain := func(v int) int { return v }
+	q := queue.New[int](10)
+	q.Push(item("a", 1, 5*time.Second, 1))
+	q.Push(item("a", 1, 6*time.Second, 9))
+	q.Push(item("b", 1, 7*time.Second, 5))
+	g.Expect(q.PopBest(now, all, gain).Value).To(Equal(9), "of the account whose turn it is")
+	g.Expect(q.PopBest(now, all, gain).Value).To(Equal(5))
+	q.Push(item("a", 1, 9*time.Second, 9))
+	g.Expect(q.PopBest(now.Add(4*time.Second), all, gain).Value).To(Equal(1), "one second is left")
+}
--- a/internal/bench/experiment/bench.go
+++ b/internal/bench/experiment/bench.go
@@ -148,7 +148,7 @@
 	b.line.after(lag, func() {
 		for _, e := range b.entries {
 			for _, role := range e.roles {
-				e.dispatch(role)
+				e.dispatch(role, "")
 			}
 		}
 	})
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 )
 
 const (
@@ -115,8 +116,8 @@
 }
 
 // dispatch starts what can start of a role. A model whose engines are all full
-// doesn't hold up the others.
-func (e *entry) dispatch(role string) {
+// doesn't hold up the others. A freed endpoint prefers calls whose prompt it holds.
+func (e *entry) dispatch(role, freed string) {
 	q := e.queues[role]
 	if q == nil || !e.bench.policy.Admission {
 		return
@@ -128,7 +129,8 @@
 	}
 	full := make(map[string]bool)
 	for {
-		it := q.PopIf(now, func(r *request) bool { return !full[r.stage().Model] })
+		can := func(r *request) bool { return !full[r.stage().Model] }
+		it := q.PopBest(now, can, func(r *request) int { return e.held(r, freed) })
 		if it == nil {
 			return
 		}
@@ -144,6 +146,18 @@
 	}
 }
 
+// held returns how many blocks of a request's prompt an endpoint is believed to hold.
+func (e *entry) held(r *request, name string) int {
+	var held [prefix.MostHeld]prefix.Held
+	n := e.board.Holders(r.blocks, &held)
+	for _, h := range held[:n] {
+		if h.Name == name {
+			return h.Blocks
+		}
+	}
+	return 0
+}
+
 // send starts an attempt after the last check of weight and leaving.
 func (e *entry) send(r *request, c picker.Choice) {
 	b := e.bench
@@ -241,7 +255,7 @@
 	} else {
 		e.enter(r)
 	}
-	e.dispatch(st.Role)
+	e.dispatch(st.Role, a.worker.Name)
 }
 
 func (e *entry) failed(a *attempt, k failure.Kind) {
@@ -258,7 +272,7 @@
 			e.finish(r, failed)
 		}
 	}
-	e.dispatch(st.Role)
+	e.dispatch(st.Role, a.worker.Name)
 }
 
 func (e *entry) mayRetry(r *request, k failure.Kind) bool {
@@ -289,7 +303,7 @@
 	}
 	e.cancelAll(r)
 	e.finish(r, late)
-	e.dispatch(st.Role)
+	e.dispatch(st.Role, "")
 }
 
 func (e *entry) finish(r *request, o outcome) {
--- a/internal/routing/picker/group.go
+++ b/internal/routing/picker/group.go
@@ -28,12 +28,12 @@
 	weight float64       // of row and data centre, relative to the greatest of the group
 	far    time.Duration // one-way delay
 	share  int           // this instance's share of the row's limit; 0 for no limit
-	shut   bool          // the row has a limit and none of it is this instance's
 }
 
-// group holds the members with weight, the nearest first.
+// group holds the members with weight of which this instance may use some, the nearest first.
 type group struct {
 	members  []member
+	shut     int // rows with weight whose limit gives this instance no share
 	near     int // members that are about as near as the nearest
 	names    map[string]int
 	eject    float64
@@ -52,9 +52,13 @@
 		if w <= 0 || !e.Serves(k.model) {
 			continue
 		}
-		greatest = max(greatest, w)
 		m := member{Endpoint: e, row: p.board.Row(e.Name), weight: w, far: s.Centre(e.Centre).Far[p.centre].Duration()}
-		m.share, m.shut = p.share(e, s.Policy.Seats)
+		m.share = p.share(e, s.Policy.Seats)
+		if e.Limit > 0 && m.share == 0 {
+			g.shut++
+			continue
+		}
+		greatest = max(greatest, w)
 		g.members = append(g.members, m)
 		g.price += e.Cost
 	}
@@ -89,3 +93,11 @@
 	}
 	g.detector.Update(samples, g.eject, now)
 }
+
+// none says why the group is empty.
+func (g *group) none() Reason {
+	if g.shut > 0 {
+		return Reason{Ground: NoShare, Of: g.shut}
+	}
+	return Reason{Ground: NoRow}
+}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -87,7 +87,7 @@
 func (p *Picker) Pick(s *sheet.Sheet, q Query) Choice {
 	g := p.group(s, key{q.Role, q.Model})
 	if len(g.members) == 0 {
-		return Choice{Reason: Reason{Ground: NoRow}}
+		return Choice{Reason: g.none()}
 	}
 	c := p.choose(g, q)
 	if c.Reason.Ground == Unusable && q.Again && len(q.Tried) > 0 {
@@ -147,19 +147,16 @@
 	return d
 }
 
-func (p *Picker) share(e *endpoint.Endpoint, seats int) (share int, shut bool) {
-	if e.Limit == 0 {
-		return 0, false
-	}
+// share returns the calls that this instance may have in flight at an endpoint; 0 for no limit or no share.
+func (p *Picker) share(e *endpoint.Endpoint, seats int) int {
 	st := p.seat.Load()
-	if st == nil {
-		return e.Limit, false
+	if e.Limit == 0 || st == nil {
+		return e.Limit
 	}
 	if st.seats > 0 {
 		seats = st.seats
 	}
-	n := ceiling.Share(e.Limit, st.number, seats, e.Name)
-	return n, n == 0
+	return ceiling.Share(e.Limit, st.number, seats, e.Name)
 }
 
 // draw returns a pseudo-random number below n.
--- a/internal/routing/picker/predict.go
+++ b/internal/routing/picker/predict.go
@@ -130,7 +130,7 @@
 			return &vs.list[i]
 		}
 	}
-	if vs.n == mostViews || m.shut || !p.usable(m, q) {
+	if vs.n == mostViews || !p.usable(m, q) {
 		return nil
 	}
 	v := &vs.list[vs.n]
--- a/internal/routing/picker/predict_test.go
+++ b/internal/routing/picker/predict_test.go
@@ -134,6 +134,36 @@
 	p.Seat(7, 0)
 	c := p.Pick(tableOf(t, 4), picker.Query{Role: "generate", Model: "m", Now: now})
 	g.Expect(c.Endpoint).To(BeNil())
+	g.Expect(c.Full).To(BeFalse(), "no wait would help")
+	g.Expect(c.Reason.Ground).To(Equal(picker.NoShare))
+}
+
+// With more seats than a limit has places, an instance still finds its own few
+// places among thousands of rows, and all instances together keep the limits.
+func TestManySeatsKeepTheLimits(t *testing.T) {
+	g := NewWithT(t)
+	const seats, limit = 420, 16
+	s := tableOf(t, 400)
+	flying := map[string]int{}
+	for seat := range seats {
+		b := board.New()
+		p := picker.New("c0", rule.Predicted{}, b, uint64(seat))
+		p.Seat(seat, seats)
+		own := 0
+		for {
+			c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
+			if c.Endpoint == nil {
+				break
+			}
+			b.Start(c.Endpoint.Name, now)
+			flying[c.Endpoint.Name]++
+			own++
+		}
+		g.Expect(own).To(BeNumerically(">", 0), "seat %d", seat)
+	}
+	for name, n := range flying {
+		g.Expect(n).To(BeNumerically("<=", limit), name)
+	}
 }
 
 func TestReasonSaysWhy(t *testing.T) {
--- a/internal/routing/picker/reason.go
+++ b/internal/routing/picker/reason.go
@@ -23,6 +23,8 @@
 	ByRule
 	// Predicted means that the endpoint has the least predicted time and cost.
 	Predicted
+	// NoShare means that the limits of all rows leave nothing to this instance's seat.
+	NoShare
 	// Ejected means that only ejected endpoints were left.
 	Ejected
 )
@@ -34,6 +36,7 @@
 	AtLimit:   "all endpoints at their limit",
 	ByRule:    "plain rule",
 	Predicted: "least predicted",
+	NoShare:   "no share of any limit",
 	Ejected:   "only ejected endpoints left",
 }
 
