--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -85,6 +85,7 @@
 	Seeds       []uint64
 	Warm        time.Duration // virtual time before anything is counted
 	Length      time.Duration // virtual time in which arriving requests are counted
+	Capacity    float64       // requests a second of each deployment; measured where zero
 	Workers     int           // runs at once
 	Traces      int           // failed requests to trace in each run
 }
@@ -116,7 +117,7 @@
 	group.SetLimit(max(1, x.options.Workers))
 	var mu sync.Mutex
 	for _, deployment := range x.options.Deployments {
-		capacity, err := Capacity(x.options, deployment)
+		capacity, err := x.capacity(deployment)
 		if err != nil {
 			return nil, err
 		}
@@ -152,6 +153,13 @@
 	return report, nil
 }
 
+func (x *Experiment) capacity(deployment string) (float64, error) {
+	if x.options.Capacity > 0 {
+		return x.options.Capacity, nil
+	}
+	return Capacity(x.options, deployment)
+}
+
 // Capacity measures the requests a second that the fakes of a deployment can
 // serve: what least in flight completes when more is offered and nothing has a
 // deadline.
--- a/internal/bench/experiment/experiment_test.go
+++ b/internal/bench/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package experiment_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -10,12 +11,23 @@
 	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
 )
 
-// run runs one short cell of the smaller deployment.
+// short sets short runs of the smaller deployment.
+func short() experiment.Options {
+	return experiment.Options{
+		Deployments: []string{"slamka"}, Seeds: []uint64{1}, Warm: 8 * time.Second, Length: 15 * time.Second,
+	}
+}
+
+var capacity = sync.OnceValues(func() (float64, error) { return experiment.Capacity(short(), "slamka") })
+
+// run runs one cell.
 func run(t *testing.T, p experiment.Policy, s experiment.Scenario) *experiment.Cell {
 	t.Helper()
-	o := experiment.Options{
-		Deployments: []string{"slamka"}, Policies: []experiment.Policy{p}, Scenarios: []experiment.Scenario{s},
-		Seeds: []uint64{1}, Warm: 8 * time.Second, Length: 15 * time.Second,
+	o := short()
+	o.Policies, o.Scenarios = []experiment.Policy{p}, []experiment.Scenario{s}
+	var err error
+	if o.Capacity, err = capacity(); err != nil {
+		t.Fatal(err)
 	}
 	r, err := experiment.New(o, nil).Run()
 	if err != nil {
