--- a/internal/bench/experiment/behind.go
+++ b/internal/bench/experiment/behind.go
@@ -8,23 +8,21 @@
 	"strings"
 )
 
-// Behind returns the cells of our policy whose attainment is below that of the
-// best other policy by more than the spread of either over its seeds.
+// Behind returns the cells of our policy whose mean attainment is below the
+// least over the seeds of the best plain policy.
 func (r *Report) Behind() []*Cell {
 	var list []*Cell
 	for _, c := range r.Cells {
 		if c.Policy != Ours {
 			continue
 		}
-		if best := r.best(c); best != nil && c.Attainment.Mean < best.Attainment.Mean-bound(c, best) {
+		if best := r.best(c); best != nil && c.Attainment.Mean < best.Attainment.Least {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
-func bound(a, b *Cell) float64 { return max(a.Attainment.Spread(), b.Attainment.Spread()) }
-
 // best returns the other policy with the greatest attainment in the same scenario.
 func (r *Report) best(own *Cell) *Cell {
 	var best *Cell
--- a/internal/bench/experiment/plot.go
+++ b/internal/bench/experiment/plot.go
@@ -45,7 +45,7 @@
 	p.X.Label.Text = "offered load, in multiples of the capacity"
 	p.Y.Label.Text = label
 	p.Y.Min = 0
-	p.Legend.Top = true
+	p.Legend.Left = true
 	var names []string
 	lines := make(map[string]plotter.XYs)
 	for _, c := range r.Cells {
--- a/internal/bench/experiment/report.go
+++ b/internal/bench/experiment/report.go
@@ -3,7 +3,6 @@
 // This file defines Report, Cell, Measured and Value.
 
 import (
-	"math"
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
@@ -162,6 +161,3 @@
 func valueOf(all []float64) Value {
 	return Value{Mean: stat.Mean(all, nil), Least: slices.Min(all), Most: slices.Max(all)}
 }
-
-// Spread returns the distance from the least to the greatest.
-func (v Value) Spread() float64 { return math.Abs(v.Most - v.Least) }
