--- /dev/null
+++ b/internal/peer/mesh/bench_test.go
@@ -0,0 +1,70 @@
+package mesh_test
+
+// This file measures what a session and a call cost, by the number of peers.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
+	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
+)
+
+// BenchmarkCall makes pulses from a number of peers to one mesh. The time is
+// that of both ends; B/session is the live heap of both ends of a session.
+func BenchmarkCall(b *testing.B) {
+	for _, n := range []int{10, 100, 420} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			served, closeServed := mesh.New(identity.Identity{Name: "served", Incarnation: 1, Seat: -1}, nil, logr.Discard())
+			defer closeServed()
+			defer l.Close()
+			served.Handle(kind.Pulse, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) { return body, nil })
+			go served.Serve(b.Context(), l)
+			before := liveHeap()
+			peers := make([]*mesh.Mesh, n)
+			for i := range peers {
+				m, closeMesh := mesh.New(identity.Identity{Name: fmt.Sprintf("peer-%d", i), Incarnation: 1, Seat: -1}, nil, logr.Discard())
+				defer closeMesh()
+				peers[i] = m
+				pulse(b, m, l.Addr().String())
+			}
+			held := float64(liveHeap()-before) / float64(n)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				pulse(b, peers[i%n], l.Addr().String())
+				i++
+			}
+			sent, received := served.Bytes()
+			b.ReportMetric(held, "B/session")
+			b.ReportMetric(float64(sent+received)/float64(b.N+n), "wire-B/op")
+		})
+	}
+}
+
+func pulse(b *testing.B, m *mesh.Mesh, address string) {
+	var out peerpb.Pulse
+	if _, err := m.Call(b.Context(), address, kind.Pulse, &peerpb.Pulse{Epoch: 1, Version: 7}, &out); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// liveHeap returns the bytes of objects that are in use.
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
