--- a/internal/endpoint/client/cancel.go
+++ b/internal/endpoint/client/cancel.go
@@ -13,7 +13,7 @@
 
 const (
 	cancelTimeout = time.Second
-	mostCancels   = 256 // under way at once
+	mostBehind    = 1024 // cancellations and ends of answers under way at once
 )
 
 // Cancel tells an endpoint in the background that the answer of a call is of no
@@ -32,28 +32,30 @@
 	})
 }
 
-// begin runs f in the background, unless the client is closed or busy with as
-// many as it may be. An attempt that lost its race may end after the close.
-func (c *Client) begin(f func()) {
+// begin runs f in the background and reports true, unless the client is closed
+// or busy with as many as it may be. An attempt that lost its race may end
+// after the close.
+func (c *Client) begin(f func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.cancels >= mostCancels {
-		return
+	if c.closed || c.behind >= mostBehind {
+		return false
 	}
-	c.cancels++
+	c.behind++
 	c.running.Go(func() {
 		defer c.end()
 		f()
 	})
+	return true
 }
 
 func (c *Client) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancels--
+	c.behind--
 }
 
-// close refuses further cancellations and waits for those under way.
+// close refuses further work in the background and waits for what is under way.
 func (c *Client) close() {
 	c.mu.Lock()
 	c.closed = true
--- a/internal/flow/dispatcher/dispatcher_test.go
+++ b/internal/flow/dispatcher/dispatcher_test.go
@@ -132,6 +132,49 @@
 	})
 }
 
+// Past capacity, what can't start in time is mostly known at once: few calls
+// wait in vain, also for an account whose pace depends on what others ask for.
+func TestHopelessCallsAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := rig.Table(limited(1))
+		table.Accounts = append(table.Accounts, account.Account{Name: "large", Digest: account.DigestOf("l"), Weight: 1})
+		r := newRig(t, table)
+		var mu sync.Mutex
+		started, atOnce, inVain := 0, 0, 0
+		var wg sync.WaitGroup
+		run := func(name string) {
+			begin := time.Now()
+			lease, err := r.Dispatcher.Acquire(t.Context(), ask(name, time.Second))
+			if err == nil {
+				time.Sleep(10 * time.Millisecond)
+				lease.Done(board.Result{})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case name != "large":
+			case err == nil:
+				started++
+			case time.Since(begin) < 50*time.Millisecond:
+				atOnce++
+			default:
+				inVain++
+			}
+		}
+		for n := range 2000 { // 10 s of 200 large and 45 small calls a second, at 100 served
+			wg.Go(func() { run("large") })
+			if n%100 < 45 && n%2 == 0 || n%100 == 99 {
+				wg.Go(func() { run(rig.Account) })
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		g.Expect(started).To(BeNumerically(">", 500))
+		g.Expect(inVain).To(BeNumerically("<", (atOnce+inVain)/10), "started %d, at once %d", started, atOnce)
+	})
+}
+
 func TestLeaseEndsWithTheWeight(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t, rig.Table(rig.Pool("a", address, "encode"), rig.Pool("b", address, "encode")))
