Ask twelve holders for a unit before a request is refused

Ruled out: the machine's load; the test runs in virtual time. Change: 12 holders. Conclusion: 12; the bound of the test stays.

--- a/internal/limit/keeper/loan.go
+++ b/internal/limit/keeper/loan.go
@@ -20,7 +20,7 @@
 // A request asks a few holders, for a short time in all. A holder that had
 // nothing to lend is not asked again by this process for a moment.
 const (
-	mostAsks   = 8
+	mostAsks   = 12
 	askTimeout = 200 * time.Millisecond
 	mostAsking = 400 * time.Millisecond
 	firstWait  = 20 * time.Millisecond // after a refusal, doubled at each that follows
