--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -90,27 +90,43 @@
 // that has had the least for its weight. Items whose Latest has passed are
 // left for Expire. It returns nil when no item can start.
 func (q *Queue[T]) Pop(now time.Time) *Item[T] {
+	return q.PopIf(now, func(T) bool { return true })
+}
+
+// PopIf is Pop among the items whose value passes can, such as those that a
+// freed endpoint could serve.
+func (q *Queue[T]) PopIf(now time.Time, can func(T) bool) *Item[T] {
+	return q.PopBest(now, can, nil)
+}
+
+// PopBest is PopIf that, within the account whose turn it is, prefers the item
+// of the greatest gain to the earliest, as long as the earliest has time to
+// wait. Only some of the earliest items are compared. A nil gain prefers none.
+func (q *Queue[T]) PopBest(now time.Time, can func(T) bool, gain func(T) int) *Item[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var best *lane[T]
+	var first *Item[T]
 	for _, l := range q.lanes {
-		if len(l.items) == 0 || !l.hasLive(now) {
+		if best != nil && !l.before(best) {
 			continue
 		}
-		if best == nil || l.before(best) {
-			best = l
+		if it := l.first(now, can); it != nil {
+			best, first = l, it
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	it := best.firstLive(now)
-	q.take(it)
+	if gain != nil && first.Latest.Sub(now) > urgent {
+		first = best.gainful(first, now, can, gain)
+	}
+	q.take(first)
 	q.clock = best.pass
 	best.pass += 1 / best.weight
 	q.before = q.pace
 	q.pace.measure(now)
-	return it
+	return first
 }
 
 // Return puts back an item that Pop gave and that could not start after all,
@@ -183,8 +199,10 @@
 }
 
 const (
-	gapGain = 1.0 / 32
-	mostGap = time.Second // a longer time between two pops says that nobody waited
+	gapGain  = 1.0 / 32
+	compared = 16              // items whose gain is compared
+	urgent   = 2 * time.Second // an item with less time than this before its Latest is not passed over
+	mostGap  = time.Second     // a longer time between two pops says that nobody waited
 )
 
 func (p *pace) measure(now time.Time) {
@@ -224,21 +242,33 @@
 	return l.pass < o.pass || l.pass == o.pass && l.account < o.account
 }
 
-func (l *lane[T]) hasLive(now time.Time) bool { return l.firstLive(now) != nil }
-
-// firstLive returns the earliest item whose Latest has not passed.
-func (l *lane[T]) firstLive(now time.Time) *Item[T] {
+// first returns the earliest item by deadline that passes can and whose Latest has not passed.
+func (l *lane[T]) first(now time.Time, can func(T) bool) *Item[T] {
 	var first *Item[T]
-	if !l.items[0].Latest.Before(now) {
-		return l.items[0]
-	}
-	for _, it := range l.items {
-		if it.Latest.Before(now) {
+	for i, it := range l.items {
+		if it.Latest.Before(now) || !can(it.Value) {
 			continue
 		}
+		if i == 0 {
+			return it
+		}
 		if first == nil || it.Latest.Before(first.Latest) {
 			first = it
 		}
 	}
 	return first
 }
+
+// gainful returns the item of the greatest gain among the first ones, or first where none has any.
+func (l *lane[T]) gainful(first *Item[T], now time.Time, can func(T) bool, gain func(T) int) *Item[T] {
+	most := gain(first.Value)
+	for _, it := range l.items[:min(compared, len(l.items))] {
+		if it == first || it.Latest.Before(now) || !can(it.Value) {
+			continue
+		}
+		if n := gain(it.Value); n > most {
+			first, most = it, n
+		}
+	}
+	return first
+}
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Ablations returns our policy and what is left of it without one of its parts.
+func Ablations() []Policy {
+	return []Policy{
+		{Ours, rule.Predicted{}, true},
+		{"ours without locality", rule.Predicted{Blind: true}, true},
+		{"two choices with admission", rule.TwoChoices{}, true},
+	}
+}
+
 // Scenario is an offered load, as a multiple of the capacity, and a fault.
 type Scenario struct {
 	Load  float64
@@ -76,6 +85,7 @@
 	Seeds       []uint64
 	Warm        time.Duration // virtual time before anything is counted
 	Length      time.Duration // virtual time in which arriving requests are counted
+	Capacity    float64       // requests a second of each deployment; measured where zero
 	Workers     int           // runs at once
 	Traces      int           // failed requests to trace in each run
 }
@@ -107,7 +117,7 @@
 	group.SetLimit(max(1, x.options.Workers))
 	var mu sync.Mutex
 	for _, deployment := range x.options.Deployments {
-		capacity, err := Capacity(x.options, deployment)
+		capacity, err := x.capacity(deployment)
 		if err != nil {
 			return nil, err
 		}
@@ -143,6 +153,13 @@
 	return report, nil
 }
 
+func (x *Experiment) capacity(deployment string) (float64, error) {
+	if x.options.Capacity > 0 {
+		return x.options.Capacity, nil
+	}
+	return Capacity(x.options, deployment)
+}
+
 // Capacity measures the requests a second that the fakes of a deployment can
 // serve: what least in flight completes when more is offered and nothing has a
 // deadline.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -71,9 +71,10 @@
 	return &Picker{centre: centre, rule: r, board: b, seed: seed, detectors: make(map[key]*outlier.Detector)}
 }
 
-// Seat sets which of the instances that share the limits of endpoints this one
-// is. Until then it uses each limit as if it were alone. A number outside 0 to
-// seats-1 has no share of any limit.
+// Seat sets which of the seats that share the limits of endpoints is this
+// instance's; seats of zero stands for the number in the table. Until then the
+// instance uses each limit as if it were alone. A number outside 0 to seats-1
+// has no share of any limit.
 func (p *Picker) Seat(number, seats int) { p.seat.Store(&seat{number, seats}) }
 
 // Allowed reports whether an endpoint may get new work: it has weight and is
@@ -86,7 +87,7 @@
 func (p *Picker) Pick(s *sheet.Sheet, q Query) Choice {
 	g := p.group(s, key{q.Role, q.Model})
 	if len(g.members) == 0 {
-		return Choice{Reason: Reason{Ground: NoRow}}
+		return Choice{Reason: g.none()}
 	}
 	c := p.choose(g, q)
 	if c.Reason.Ground == Unusable && q.Again && len(q.Tried) > 0 {
@@ -108,6 +109,9 @@
 		return p.plain(g, q, 1, true)
 	case rule.Predicted:
 		g.judge(q.Now)
+		if r.Blind {
+			q.Blocks = nil
+		}
 		return p.predict(g, q)
 	default:
 		panic(fmt.Sprintf("picker: got rule %T, want one of package rule", r))
@@ -146,19 +150,16 @@
 	return d
 }
 
-func (p *Picker) share(e *endpoint.Endpoint, seats int) (share int, shut bool) {
-	if e.Limit == 0 {
-		return 0, false
-	}
+// share returns the calls that this instance may have in flight at an endpoint; 0 for no limit or no share.
+func (p *Picker) share(e *endpoint.Endpoint, seats int) int {
 	st := p.seat.Load()
-	if st == nil {
-		return e.Limit, false
+	if e.Limit == 0 || st == nil {
+		return e.Limit
 	}
 	if st.seats > 0 {
 		seats = st.seats
 	}
-	n := ceiling.Share(e.Limit, st.number, seats, e.Name)
-	return n, n == 0
+	return ceiling.Share(e.Limit, st.number, seats, e.Name)
 }
 
 // draw returns a pseudo-random number below n.
