Bring the text so far when a stream resumes

Cause: a resumed call named only the token index. An engine that samples would have gone on from its own words, and the caller would have got a mixture. Change: the call carries the text before its first token; the stand-in engine and the runner's stub refuse a call whose text does not fit. The bytes of polls are counted and shown as poll_bytes.

--- a/internal/endpoint/call/call.go
+++ b/internal/endpoint/call/call.go
@@ -15,6 +15,7 @@
 	Adapter  string
 	Prompt   string // the input together with the results of earlier stages
 	From     int    // index of the first token wanted; above zero when a stream resumes
+	Partial  string // text of the tokens before From, which an engine that samples goes on from
 	Tokens   int    // most tokens to generate; zero for pools
 	Priority int    // higher is served first
 	Import   string // handle of an exported KV cache, or empty
--- a/internal/endpoint/client/stage.go
+++ b/internal/endpoint/client/stage.go
@@ -25,6 +25,7 @@
 	Adapter  string `json:"adapter,omitempty"`
 	Prompt   string `json:"prompt"`
 	From     int    `json:"from,omitempty"`
+	Partial  string `json:"partial,omitempty"`
 	Tokens   int    `json:"tokens,omitempty"`
 	Priority int    `json:"priority,omitempty"`
 	Import   string `json:"import,omitempty"`
@@ -65,7 +66,7 @@
 	body, err := json.Marshal(wireCall{
 		Request: q.Request, Stage: q.Stage, Attempt: q.Attempt,
 		Deadline: max(1, left.Milliseconds()), Model: q.Model, Adapter: q.Adapter,
-		Prompt: q.Prompt, From: q.From, Tokens: q.Tokens, Priority: q.Priority, Import: q.Import,
+		Prompt: q.Prompt, From: q.From, Partial: q.Partial, Tokens: q.Tokens, Priority: q.Priority, Import: q.Import,
 	})
 	if err != nil {
 		return call.Answer{}, failure.New(failure.Unsent, err, "encoding call")
--- a/internal/endpoint/poller/poller.go
+++ b/internal/endpoint/poller/poller.go
@@ -8,6 +8,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,6 +42,7 @@
 	client *client.Client
 	log    logr.Logger
 	bytes  *rate.Limiter
+	total  atomic.Int64 // bytes that polls have cost
 
 	table  *sheet.Sheet
 	chosen time.Time
@@ -66,6 +68,9 @@
 	}
 }
 
+// Bytes returns how many bytes polls have cost since the start.
+func (p *Poller) Bytes() int64 { return p.total.Load() }
+
 // Run polls until ctx ends. It runs one poll at a time.
 func (p *Poller) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -75,6 +80,7 @@
 			continue
 		}
 		size := overhead + p.poll(ctx, e)
+		p.total.Add(int64(size))
 		if p.bytes.WaitN(ctx, min(size, mostBurst)) != nil {
 			return
 		}
--- a/internal/entry/daemon/gauge.go
+++ b/internal/entry/daemon/gauge.go
@@ -40,6 +40,7 @@
 		"peers_age_seconds":       s.Peers,
 		"peer_sent_bytes":         float64(sent),
 		"peer_received_bytes":     float64(received),
+		"poll_bytes":              float64(d.poller.Bytes()),
 		"requests_in_flight":      float64(s.Flights),
 		"tickets_held":            float64(s.Tickets),
 		"table_saved_bytes":       float64(stats.SavedBytes),
--- a/internal/flow/runner/attempt.go
+++ b/internal/flow/runner/attempt.go
@@ -47,7 +47,8 @@
 	}
 	res.endpoint = lease.Endpoint.Name
 	start := time.Now()
-	q := s.call(ask.Attempt, s.stream.touch(ask.Attempt, lease.Endpoint.Name, lease.Load, start), lease)
+	q := s.call(ask.Attempt, lease)
+	q.From, q.Partial = s.stream.touch(ask.Attempt, lease.Endpoint.Name, lease.Load, start)
 	res.answer, res.err = s.client.Do(ctx, lease.Endpoint.Address, q, func(t call.Token) error {
 		if res.first == 0 {
 			res.first = time.Since(start)
@@ -68,7 +69,7 @@
 	return res
 }
 
-func (s *stage) call(attempt, from int, lease *dispatcher.Lease) call.Call {
+func (s *stage) call(attempt int, lease *dispatcher.Lease) call.Call {
 	name := modelOf(s.job, s.stage)
 	return call.Call{
 		Request:  s.job.ID,
@@ -78,7 +79,6 @@
 		Model:    name,
 		Adapter:  adapterOf(s.tables.Current().Model(name)),
 		Prompt:   s.prompt,
-		From:     from,
 		Tokens:   tokensOf(s.job, s.stage),
 		Import:   s.handle,
 		Once:     s.stage.Once,
--- a/internal/flow/runner/runner_test.go
+++ b/internal/flow/runner/runner_test.go
@@ -35,6 +35,7 @@
 	Stage   string `json:"stage"`
 	Attempt int    `json:"attempt"`
 	From    int    `json:"from"`
+	Partial string `json:"partial"`
 	Tokens  int    `json:"tokens"`
 	Import  string `json:"import"`
 }
@@ -77,8 +78,17 @@
 	http.NewResponseController(w).Flush()
 }
 
-// generate streams the tokens from c.From to c.Tokens and the end.
+// generate streams the tokens from c.From to c.Tokens and the end. It refuses a
+// call that does not bring the text before them.
 func generate(w http.ResponseWriter, _ *http.Request, c wireCall, _ int64) {
+	partial := ""
+	for i := range c.From {
+		partial += fmt.Sprintf(" %d", i)
+	}
+	if c.Partial != partial {
+		http.Error(w, "partial", http.StatusBadRequest)
+		return
+	}
 	size := 0
 	for i := c.From; i < c.Tokens; i++ {
 		emit(w, c, i)
--- a/internal/flow/runner/stream.go
+++ b/internal/flow/runner/stream.go
@@ -30,8 +30,8 @@
 }
 
 // touch records that an attempt was sent to an endpoint, at a load of the role,
-// and returns the token from which it has to go on.
-func (s *stream) touch(attempt int, name string, load float64, now time.Time) (from int) {
+// and returns the token from which it has to go on, and the text before it.
+func (s *stream) touch(attempt int, name string, load float64, now time.Time) (from int, partial string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.at == nil {
@@ -40,7 +40,7 @@
 	s.at[attempt] = name
 	s.progress = now
 	s.load = load
-	return s.next
+	return s.next, s.text.String()
 }
 
 // token takes a token of an attempt. An error tells the attempt to end.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthstile/jacinthstile/internal/standin/answer"
 	"github.com/jacinthstile/jacinthstile/internal/standin/cache"
 	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
 	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
@@ -46,10 +47,14 @@
 			Token: 5 * time.Millisecond, Growth: 1, Cache: cache.Options{Blocks: 100},
 		}, l)
 		prompt := strings.Repeat("x", 512) // 128 tokens, two whole blocks
-		for _, more := range []map[string]any{nil, nil, {"import": "kv/r2/generate"}, {"from": 3}} {
+		for _, more := range []map[string]any{
+			nil, nil, {"import": "kv/r2/generate"},
+			{"from": 3}, {"from": 3, "partial": answer.Text("r3", "generate", prompt, 3)},
+		} {
 			ask(e, "POST", "/v1/stages", stage(fmt.Sprintf("r%d", len(l.Entries())), prompt, more))
 		}
 		cold, warm, imported, resumed := l.Entries()[0], l.Entries()[1], l.Entries()[2], l.Entries()[3]
+		g.Expect(l.Entries()).To(HaveLen(4), "a call that does not bring the text before its first token does not run")
 		g.Expect(cold.Busy).To(Equal(153 * time.Millisecond))
 		g.Expect(warm.Busy).To(Equal(25 * time.Millisecond))
 		g.Expect(warm.Cached).To(Equal(128))
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -21,6 +21,7 @@
 	Model    string `json:"model"`
 	Prompt   string `json:"prompt"`
 	From     int    `json:"from"`
+	Partial  string `json:"partial"`
 	Tokens   int    `json:"tokens"`
 	Priority int    `json:"priority"`
 	Import   string `json:"import"`
@@ -56,6 +57,11 @@
 		http.Error(w, "model "+c.Model+" is not loaded", http.StatusServiceUnavailable)
 		return
 	}
+	if c.Partial != answer.Text(c.Request, c.Stage, c.Prompt, c.From) {
+		w.Header().Set(trouble.HeaderNotRun, "1")
+		http.Error(w, "partial is not the text of the first tokens", http.StatusBadRequest)
+		return
+	}
 	ctx, leave := e.enter(r.Context(), c)
 	defer leave()
 	if !e.queue.Acquire(ctx, c.Priority) {
