--- a/internal/endpoint/poller/poller.go
+++ b/internal/endpoint/poller/poller.go
@@ -26,12 +26,13 @@
 	mostBurst   = 12 << 10
 	overhead    = 500 // bytes of the headers and packets of one poll
 	timeout     = 300 * time.Millisecond
-	refresh     = time.Second      // time between two choices of the endpoints to poll
-	recent      = 15 * time.Second // an endpoint called within this time is in use
-	mostInUse   = 48               // endpoints in use that are polled in turn
-	otherEvery  = 8                // every n-th poll goes to an endpoint that is not in use
-	eventsEvery = 2                // every n-th poll of an engine reads its cache events
-	idlePause   = time.Second      // where there is nothing to poll
+	refresh     = time.Second            // time between two choices of the endpoints to poll
+	recent      = 15 * time.Second       // an endpoint called within this time is in use
+	mostInUse   = 48                     // endpoints in use that are polled in turn
+	otherEvery  = 8                      // every n-th poll goes to an endpoint that is not in use
+	eventsEvery = 2                      // every n-th poll of an engine reads its cache events
+	idlePause   = time.Second            // where there is nothing to poll
+	otherPause  = 500 * time.Millisecond // between polls while no endpoint is in use
 )
 
 // Poller polls the endpoints that this instance uses in turn, and the others
@@ -84,6 +85,9 @@
 		if p.bytes.WaitN(ctx, min(size, mostBurst)) != nil {
 			return
 		}
+		if len(p.inUse) == 0 {
+			pause(ctx, otherPause)
+		}
 	}
 }
 
--- a/internal/endpoint/poller/poller_test.go
+++ b/internal/endpoint/poller/poller_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +118,17 @@
 	g.Expect(polls).To(BeNumerically("<=", 49))
 	g.Expect(polls).To(BeNumerically(">", 5))
 }
+
+// An instance without requests spends little on reports that nobody uses.
+func TestIdleInstancePollsSeldom(t *testing.T) {
+	g := NewWithT(t)
+	var polls atomic.Int64
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		polls.Add(1)
+		fmt.Fprint(w, `{"slots":16}`)
+	})
+	start(t, board.New(), rig.Engine("a", address), rig.Engine("b", address))
+	time.Sleep(2 * time.Second)
+	g.Expect(polls.Load()).To(BeNumerically(">", 0))
+	g.Expect(polls.Load()).To(BeNumerically("<=", 5), "one at the start and one each 500 ms")
+}
