--- a/cmd/jacinthstiled/main.go
+++ b/cmd/jacinthstiled/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/jacinthstile/jacinthstile/internal/command/logger"
 	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
@@ -22,9 +24,10 @@
 func main() {
 	path := flag.String("settings", "", "settings file (JSON)")
 	check := flag.Bool("check", false, "validate the settings and exit")
+	trace := flag.Bool("trace", false, "print where an error came from")
 	flag.Parse()
 	if err := run(*path, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "jacinthstiled:", err)
+		fmt.Fprintln(os.Stderr, "jacinthstiled:", eris.ToString(err, *trace))
 		os.Exit(1)
 	}
 }
@@ -32,7 +35,7 @@
 func run(path string, check bool) error {
 	c, err := config.Load(path)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "loading settings")
 	}
 	if check {
 		fmt.Println("settings are valid")
@@ -42,17 +45,17 @@
 	defer stopSignals()
 	d, cleanUp, err := daemon.New(c, logger.New(os.Stderr, c.Log))
 	if err != nil {
-		return err
+		return eris.Wrap(err, "starting")
 	}
 	defer cleanUp()
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(context.Background()) }()
 	select {
 	case err := <-ended:
-		return err
+		return eris.Wrap(err, "serving")
 	case <-signals.Done():
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return d.Stop(ctx)
+	return eris.Wrap(d.Stop(ctx), "stopping")
 }
