--- /dev/null
+++ b/cmd/jacinthstiled/main.go
@@ -0,0 +1,58 @@
+// Command jacinthstiled is the entry daemon.
+package main
+
+// This file reads the settings, starts the daemon and stops it on a signal.
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/command/logger"
+	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+)
+
+const stopTimeout = 10 * time.Minute
+
+func main() {
+	path := flag.String("settings", "", "settings file (JSON)")
+	check := flag.Bool("check", false, "validate the settings and exit")
+	flag.Parse()
+	if err := run(*path, *check); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinthstiled:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool) error {
+	c, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	signals, stopSignals := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stopSignals()
+	d, cleanUp, err := daemon.New(c, logger.New(os.Stderr, c.Log))
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(context.Background()) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-signals.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return d.Stop(ctx)
+}
--- /dev/null
+++ b/internal/command/root/root.go
@@ -0,0 +1,20 @@
+// Package root provides the command line of the operators' client.
+package root
+
+// This file defines the root command.
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// New returns the root command with all subcommands.
+func New() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "jacinthstile",
+		Short:         "Operate jacinthstile, a serving system for multi-stage model pipelines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	c.AddCommand(newDemo(), newTable())
+	return c
+}
--- /dev/null
+++ b/internal/entry/caller/caller.go
@@ -0,0 +1,132 @@
+// Package caller serves the callers' interface: pipelines, chats, plain
+// services and tickets over HTTP.
+package caller
+
+// This file defines Server and its routes.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
+	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequest  = "Jacinthstile-Request"
+	HeaderDeadline = "Jacinthstile-Deadline"
+	HeaderTicket   = "Jacinthstile-Ticket"
+)
+
+// Server answers callers.
+type Server struct {
+	tables *holder.Holder
+	runner *runner.Runner
+	relay  *relay.Relay
+	limits *keeper.Keeper
+	desk   *desk.Desk
+	body   int64 // most bytes of a request body
+	log    logr.Logger
+	router chi.Router
+}
+
+// New returns a server.
+func New(t *holder.Holder, r *runner.Runner, p *relay.Relay, k *keeper.Keeper, d *desk.Desk, body int64, log logr.Logger) *Server {
+	s := &Server{tables: t, runner: r, relay: p, limits: k, desk: d, body: body, log: log}
+	s.router = s.routes()
+	return s
+}
+
+func (s *Server) routes() chi.Router {
+	m := chi.NewRouter()
+	m.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, newID(), fault.New(code.NoSuchPath, "%s", r.URL.Path))
+	})
+	m.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, newID(), fault.New(code.WrongMethod, "%s %s", r.Method, r.URL.Path))
+	})
+	m.Post("/v1/pipelines/{name}", s.admit(s.pipeline))
+	m.Post("/v1/chat/completions", s.admit(s.chat))
+	m.Get("/v1/models", s.admit(s.models))
+	m.Post("/v1/tickets", s.admit(s.ticket))
+	m.HandleFunc("/v1/services/{service}/*", s.admit(s.service))
+	return m
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// visit is one request that is known to come from a client account.
+type visit struct {
+	id      string
+	table   *sheet.Sheet
+	account *account.Account
+	start   time.Time
+}
+
+// admit wraps a handler: it finds the account and answers its faults.
+func (s *Server) admit(h func(http.ResponseWriter, *http.Request, visit) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v := visit{id: newID(), table: s.tables.Current(), start: time.Now()}
+		w.Header().Set(HeaderRequest, v.id)
+		err := s.identify(r, &v)
+		if err == nil {
+			err = h(w, r, v)
+		}
+		if err != nil {
+			f := fault.From(err)
+			s.log.Info("refused", "request", v.id, "code", int(f.Code), "class", f.Code.Class().String(), "error", f.Error())
+			refuse(w, v.id, f)
+		}
+	}
+}
+
+func newID() string { return uuid.NewString() }
+
+func (s *Server) identify(r *http.Request, v *visit) error {
+	if v.table == nil {
+		return fault.New(code.NotReady, "no table is in force")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return fault.New(code.NoKey, "want header Authorization: Bearer KEY")
+	}
+	sum := sha256.Sum256([]byte(key))
+	v.account = v.table.AccountOf(hex.EncodeToString(sum[:]))
+	if v.account == nil {
+		return fault.New(code.UnknownAccount, "the key is of no account")
+	}
+	return nil
+}
+
+// deadline returns when the request must be answered: what the header leaves, at most the row's own.
+func (v visit) deadline(r *http.Request, most time.Duration) (time.Time, error) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return v.start.Add(most), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return time.Time{}, fault.New(code.BadDeadline, "got %q, want milliseconds above 0", text)
+	}
+	if ms >= most.Milliseconds() {
+		return v.start.Add(most), nil
+	}
+	return v.start.Add(time.Duration(ms) * time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/entry/caller/pipeline.go
@@ -0,0 +1,86 @@
+package caller
+
+// This file answers POST /v1/pipelines/{name}.
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/call"
+	"github.com/jacinthstile/jacinthstile/internal/flow/job"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+)
+
+type wireJob struct {
+	Input  string `json:"input"`
+	Tokens int    `json:"tokens"`
+	Stream bool   `json:"stream"`
+}
+
+type wireOutcome struct {
+	Request string      `json:"request"`
+	Output  string      `json:"output"`
+	Reason  string      `json:"reason"`
+	Tokens  int         `json:"tokens"`
+	Stages  []job.Stage `json:"stages"`
+}
+
+type wirePiece struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+func (s *Server) pipeline(w http.ResponseWriter, r *http.Request, v visit) error {
+	name := chi.URLParam(r, "name")
+	p := v.table.Pipeline(name)
+	if p == nil {
+		return fault.New(code.UnknownPipeline, "got %q", name)
+	}
+	var body wireJob
+	if err := s.decode(w, r, &body); err != nil {
+		return err
+	}
+	if body.Input == "" {
+		return fault.New(code.BadField, "input: got nothing, want text")
+	}
+	if body.Tokens < 0 {
+		return fault.New(code.BadField, "tokens: got %d, want 0 or more", body.Tokens)
+	}
+	deadline, err := v.deadline(r, p.Deadline.Duration())
+	if err != nil {
+		return err
+	}
+	give, err := s.limits.Take(r.Context(), v.account, v.table.Policy.Seats)
+	if err != nil {
+		return err
+	}
+	defer give()
+	j := job.Job{
+		ID: v.id, Account: v.account.Name, Pipeline: p,
+		Input: body.Input, Tokens: body.Tokens, Deadline: deadline,
+	}
+	if !body.Stream {
+		out, err := s.runner.Run(r.Context(), j, nil)
+		if err != nil {
+			return err
+		}
+		writeJSON(w, http.StatusOK, outcomeOf(v.id, out))
+		return nil
+	}
+	stream := &events{w: w}
+	out, err := s.runner.Run(r.Context(), j, func(t call.Token) error {
+		return stream.send(wirePiece{Index: t.Index, Text: t.Text})
+	})
+	if err != nil {
+		return stream.end(v.id, err)
+	}
+	return stream.send(outcomeOf(v.id, out))
+}
+
+func outcomeOf(id string, out job.Outcome) wireOutcome {
+	return wireOutcome{
+		Request: id, Output: out.Output, Reason: out.Reason, Tokens: out.Tokens, Stages: out.Stages,
+	}
+}
--- /dev/null
+++ b/internal/entry/caller/service.go
@@ -0,0 +1,114 @@
+package caller
+
+// This file answers calls to plain services and issues tickets.
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/table/service"
+)
+
+type wireTicket struct {
+	Ticket string `json:"ticket"`
+	Expiry int64  `json:"expiry"` // milliseconds of the Unix epoch
+}
+
+func (s *Server) ticket(w http.ResponseWriter, _ *http.Request, v visit) error {
+	text, expiry, err := s.desk.Issue(v.account.Name, v.table.Policy.Ticket.Duration())
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusCreated, wireTicket{Ticket: text, Expiry: expiry.UnixMilli()})
+	return nil
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request, v visit) error {
+	name := chi.URLParam(r, "service")
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	svc := v.table.Service(name)
+	if svc == nil {
+		return fault.New(code.UnknownService, "got %q", name)
+	}
+	op, ok := svc.Find(r.Method, path)
+	if !ok {
+		return fault.New(code.UnknownService, "got %s %s of service %s", r.Method, path, name)
+	}
+	o, err := s.order(w, r, v, svc, path)
+	if err != nil {
+		return err
+	}
+	o.Idempotent = op.Idempotent
+	ticket := r.Header.Get(HeaderTicket)
+	if !op.Idempotent && ticket == "" && op.Ticket != service.Optional {
+		return fault.New(code.TicketRequired, "%s %s", r.Method, path)
+	}
+	give, err := s.limits.Take(r.Context(), v.account, v.table.Policy.Seats)
+	if err != nil {
+		return err
+	}
+	defer give()
+	reply, err := s.runOrder(r.Context(), o, ticket)
+	if err != nil {
+		return err
+	}
+	if reply.Type != "" {
+		w.Header().Set("Content-Type", reply.Type)
+	}
+	w.WriteHeader(reply.Status)
+	w.Write(reply.Body)
+	return nil
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request, v visit, svc *service.Service, path string) (relay.Order, error) {
+	body, err := s.read(w, r)
+	if err != nil {
+		return relay.Order{}, err
+	}
+	deadline, err := v.deadline(r, svc.Deadline.Duration())
+	if err != nil {
+		return relay.Order{}, err
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return relay.Order{
+		Account: v.account.Name,
+		Service: svc.Name,
+		Call: client.Plain{
+			Request: v.id, Method: r.Method, Path: path,
+			Type: r.Header.Get("Content-Type"), Body: body, Deadline: deadline,
+		},
+	}, nil
+}
+
+// runOrder runs an order under its ticket, where it has one. A call that has
+// been claimed goes on when the caller leaves, so that its outcome is kept.
+func (s *Server) runOrder(ctx context.Context, o relay.Order, ticket string) (client.Reply, error) {
+	if o.Idempotent || ticket == "" {
+		return s.relay.Run(ctx, o)
+	}
+	o.Call.Key = ticket
+	return s.desk.Run(ctx, ticket, o.Account, digestOf(o), func() (client.Reply, error) {
+		return s.relay.Run(context.WithoutCancel(ctx), o)
+	})
+}
+
+// digestOf returns a digest of what a call asks for.
+func digestOf(o relay.Order) string {
+	h := sha256.New()
+	for _, part := range []string{o.Service, o.Call.Method, o.Call.Path, string(o.Call.Body)} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/entry/daemon/daemon.go
@@ -0,0 +1,197 @@
+// Package daemon assembles an entry instance from its parts and runs it.
+package daemon
+
+// This file defines Daemon, its construction and its life.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
+	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
+	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
+	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
+	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
+	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
+	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/internal/table/feed"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	mostHeader    = 32 << 10 // bytes
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	config   config.Config
+	log      logr.Logger
+	tables   *holder.Holder
+	feed     *feed.Feed
+	roster   *roster.Roster
+	mesh     *mesh.Mesh
+	callers  *http.Server
+	operator *http.Server
+	flights  atomic.Int64
+	stopping atomic.Bool
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
+}
+
+// New builds a daemon and opens its listeners. The returned function closes
+// everything at once; Stop before it lets requests in flight finish.
+func New(c config.Config, log logr.Logger) (*Daemon, func(), error) {
+	d := &Daemon{config: c, log: log.WithValues("instance", c.Name), tables: holder.New()}
+	self := identity.Identity{
+		Name: c.Name, Centre: c.Centre, Incarnation: uint64(time.Now().UnixNano()), Seat: seatOf(c),
+	}
+	source, closeSource := reader.New(c.Platform)
+	endpoints, closeEndpoints := client.New()
+	var closeMesh func()
+	d.mesh, closeMesh = mesh.New(self, nil, d.log)
+	d.roster = roster.New(source, d.log)
+	d.feed = feed.New(source, d.mesh, d.roster, d.tables, d.log)
+
+	stats := board.New()
+	pick := picker.New(c.Centre, stats)
+	d.callers = &http.Server{
+		Handler: d.counted(caller.New(
+			d.tables,
+			runner.New(d.tables, pick, stats, endpoints, d.log),
+			relay.New(d.tables, pick, stats, endpoints, d.log),
+			keeper.New(self.Seat),
+			desk.New(self, c.Bounds.Tickets),
+			c.Bounds.Body,
+			d.log,
+		)),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    mostHeader,
+	}
+	d.operator = &http.Server{Handler: operator.New(d.status), ReadHeaderTimeout: headerTimeout}
+	cleanUp := func() {
+		d.callers.Close()
+		d.operator.Close()
+		if d.peerListener != nil {
+			d.peerListener.Close()
+		}
+		closeMesh()
+		closeEndpoints()
+		closeSource()
+	}
+	if err := d.listen(); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
+	return d, cleanUp, nil
+}
+
+func seatOf(c config.Config) int {
+	if c.Seat == nil {
+		return -1
+	}
+	return *c.Seat
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"caller", d.config.Caller.Address, &d.callerListener},
+		{"peer", d.config.Peer.Address, &d.peerListener},
+		{"operator", d.config.Operator.Address, &d.operatorListener},
+	} {
+		open, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("opening %s listener: %w", l.name, err)
+		}
+		*l.into = open
+	}
+	return nil
+}
+
+// CallerAddress returns the address on which callers are served.
+func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
+
+// PeerAddress returns the address on which peers are served.
+func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (d *Daemon) OperatorAddress() string { return d.operatorListener.Addr().String() }
+
+// Run serves until ctx ends or a listener fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.roster.Run(ctx)
+	go d.feed.Run(ctx)
+	failed := make(chan error, 3)
+	go func() { failed <- d.callers.Serve(d.callerListener) }()
+	go func() { failed <- d.operator.Serve(d.operatorListener) }()
+	go func() { failed <- d.mesh.Serve(ctx, d.peerListener) }()
+	d.log.Info("serving", "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress())
+	select {
+	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Stop ends the daemon gracefully: it turns unready, accepts requests until the
+// balancer has noticed, and returns when all in flight are answered.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.stopping.Store(true)
+	d.log.Info("stopping: unready", "drain", d.config.Bounds.Drain)
+	select {
+	case <-time.After(d.config.Bounds.Drain.Duration()):
+	case <-ctx.Done():
+	}
+	d.log.Info("stopping: waiting for requests in flight", "flights", d.flights.Load())
+	return d.callers.Shutdown(ctx)
+}
+
+// CutPeers closes all peer sessions, as a failing network would.
+func (d *Daemon) CutPeers() { d.mesh.Cut() }
+
+func (d *Daemon) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.flights.Add(1)
+		defer d.flights.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) status() operator.Status {
+	epoch, version := d.tables.Pair()
+	return operator.Status{
+		Name:    d.config.Name,
+		Centre:  d.config.Centre,
+		Ready:   d.tables.Current() != nil && !d.stopping.Load(),
+		Epoch:   epoch,
+		Version: version,
+		Refusal: d.feed.Refusal(),
+		Flights: d.flights.Load(),
+	}
+}
--- /dev/null
+++ b/internal/table/sheet/sheet.go
@@ -0,0 +1,196 @@
+// Package sheet provides the table as a whole: its rows, the rules between
+// rows, and the indexes that request handling reads.
+package sheet
+
+// This file defines Sheet and the rules that hold between its rows.
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/jacinthstile/jacinthstile/internal/table/account"
+	"github.com/jacinthstile/jacinthstile/internal/table/centre"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/model"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+	"github.com/jacinthstile/jacinthstile/internal/table/problem"
+	"github.com/jacinthstile/jacinthstile/internal/table/service"
+)
+
+// Sheet is the table. After Freeze it is immutable and may be shared.
+type Sheet struct {
+	Epoch     uint64              `json:"epoch"`
+	Version   uint64              `json:"version"`
+	Policy    *policy.Policy      `json:"policy,omitempty"`
+	Centres   []centre.Centre     `json:"centres,omitempty"`
+	Endpoints []endpoint.Endpoint `json:"endpoints,omitempty"`
+	Accounts  []account.Account   `json:"accounts,omitempty"`
+	Pipelines []pipeline.Pipeline `json:"pipelines,omitempty"`
+	Models    []model.Model       `json:"models,omitempty"`
+	Services  []service.Service   `json:"services,omitempty"`
+
+	centres   map[string]*centre.Centre
+	endpoints map[string]*endpoint.Endpoint
+	roles     map[string][]*endpoint.Endpoint
+	digests   map[string]*account.Account
+	accounts  map[string]*account.Account
+	pipelines map[string]*pipeline.Pipeline
+	models    map[string]*model.Model
+	services  map[string]*service.Service
+}
+
+// Parse reads and freezes a table written as JSON.
+func Parse(data []byte) (*Sheet, error) {
+	s := new(Sheet)
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("parsing table: %w", err)
+	}
+	if err := s.Freeze(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Freeze checks the table as a whole and builds its indexes.
+// It returns a problem.List that names each row and column at fault.
+func (s *Sheet) Freeze() error {
+	var list problem.List
+	s.checkRows(&list)
+	s.index(&list)
+	s.checkReferences(&list)
+	return list.Err()
+}
+
+func (s *Sheet) checkRows(list *problem.List) {
+	if s.Policy == nil {
+		list.Add("table", "policy", "nothing", "a policy")
+	} else {
+		s.Policy.Check(list)
+	}
+	if s.Version == 0 {
+		list.Add("table", "version", 0, "1 or more")
+	}
+	for _, r := range s.Centres {
+		r.Check(list)
+	}
+	for _, r := range s.Endpoints {
+		r.Check(list)
+	}
+	for _, r := range s.Accounts {
+		r.Check(list)
+	}
+	for _, r := range s.Pipelines {
+		r.Check(list)
+	}
+	for _, r := range s.Models {
+		r.Check(list)
+	}
+	for _, r := range s.Services {
+		r.Check(list)
+	}
+}
+
+func (s *Sheet) index(list *problem.List) {
+	s.centres = byName(list, "centre", s.Centres, func(r *centre.Centre) string { return r.Name })
+	s.endpoints = byName(list, "endpoint", s.Endpoints, func(r *endpoint.Endpoint) string { return r.Name })
+	s.accounts = byName(list, "account", s.Accounts, func(r *account.Account) string { return r.Name })
+	s.digests = byName(list, "account with digest", s.Accounts, func(r *account.Account) string { return r.Digest })
+	s.pipelines = byName(list, "pipeline", s.Pipelines, func(r *pipeline.Pipeline) string { return r.Name })
+	s.models = byName(list, "model", s.Models, func(r *model.Model) string { return r.Name })
+	s.services = byName(list, "service", s.Services, func(r *service.Service) string { return r.Name })
+	s.roles = make(map[string][]*endpoint.Endpoint)
+	for i := range s.Endpoints {
+		r := &s.Endpoints[i]
+		s.roles[r.Role] = append(s.roles[r.Role], r)
+	}
+}
+
+func byName[R any](list *problem.List, what string, rows []R, name func(*R) string) map[string]*R {
+	m := make(map[string]*R, len(rows))
+	for i := range rows {
+		n := name(&rows[i])
+		if m[n] != nil {
+			list.Add(what+" "+n, "name", n, "a name of its own")
+		}
+		m[n] = &rows[i]
+	}
+	return m
+}
+
+func (s *Sheet) checkReferences(list *problem.List) {
+	for _, e := range s.Endpoints {
+		if s.centres[e.Centre] == nil {
+			list.Add("endpoint "+e.Name, "centre", e.Centre, "the name of a centre row")
+		}
+		if e.Kind == endpoint.Service && s.services[e.Role] == nil {
+			list.Add("endpoint "+e.Name, "role", e.Role, "the name of a service")
+		}
+		for _, m := range e.Models {
+			if s.models[m] == nil {
+				list.Add("endpoint "+e.Name, "models", m, "the name of a model row")
+			}
+		}
+	}
+	for _, m := range s.Models {
+		if m.Pipeline != "" && s.pipelines[m.Pipeline] == nil {
+			list.Add("model "+m.Name, "pipeline", m.Pipeline, "the name of a pipeline")
+		}
+	}
+	for _, p := range s.Pipelines {
+		for i, st := range p.Stages {
+			if st.Model != "" && s.models[st.Model] == nil {
+				list.Add("pipeline "+p.Name, fmt.Sprintf("stages[%d].model", i), st.Model, "the name of a model row")
+			}
+		}
+	}
+}
+
+// Centre returns the row of that name, or nil.
+func (s *Sheet) Centre(name string) *centre.Centre { return s.centres[name] }
+
+// Endpoint returns the row of that name, or nil.
+func (s *Sheet) Endpoint(name string) *endpoint.Endpoint { return s.endpoints[name] }
+
+// Role returns the endpoints of a stage role or service. Callers must not change the slice.
+func (s *Sheet) Role(role string) []*endpoint.Endpoint { return s.roles[role] }
+
+// Account returns the row of that name, or nil.
+func (s *Sheet) Account(name string) *account.Account { return s.accounts[name] }
+
+// AccountOf returns the row whose digest column is digest, or nil.
+func (s *Sheet) AccountOf(digest string) *account.Account { return s.digests[digest] }
+
+// Pipeline returns the row of that name, or nil.
+func (s *Sheet) Pipeline(name string) *pipeline.Pipeline { return s.pipelines[name] }
+
+// Model returns the row of that name, or nil.
+func (s *Sheet) Model(name string) *model.Model { return s.models[name] }
+
+// Service returns the row of that name, or nil.
+func (s *Sheet) Service(name string) *service.Service { return s.services[name] }
+
+// Weight returns the endpoint's weight times its data centre's; zero means no new work.
+// It is zero for names that the table does not have.
+func (s *Sheet) Weight(name string) float64 {
+	e := s.endpoints[name]
+	if e == nil {
+		return 0
+	}
+	c := s.centres[e.Centre]
+	if c == nil {
+		return 0
+	}
+	return e.Weight * c.Weight
+}
+
+// After reports whether (epoch, version) of s is greater than that of o. A nil o is the least.
+func (s *Sheet) After(o *Sheet) bool {
+	if o == nil {
+		return true
+	}
+	if s.Epoch != o.Epoch {
+		return s.Epoch > o.Epoch
+	}
+	return s.Version > o.Version
+}
