--- /dev/null
+++ b/internal/bench/fleet/standin.go
@@ -0,0 +1,147 @@
+package fleet
+
+// This file starts the stand-ins of the table's endpoints.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/standin/cache"
+	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
+	"github.com/jacinthstile/jacinthstile/internal/standin/pool"
+	"github.com/jacinthstile/jacinthstile/internal/standin/service"
+	"github.com/jacinthstile/jacinthstile/internal/standin/trouble"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+)
+
+// Timing is the service-time model of the stand-ins.
+type Timing struct {
+	Pool    time.Duration // a call of a pool
+	Service time.Duration // a call of a plain service
+	First   time.Duration // first token of an empty prompt
+	Prompt  time.Duration // each prompt token that is not cached
+	Token   time.Duration // each further token of a stream that is alone
+	Growth  float64       // share of Token that each other stream of the batch adds
+	Lag     time.Duration // age of load reports and cache events
+	Gap     int           // every Gap-th cache event is lost; 0 for none
+	Blocks  int           // blocks in each engine's prefix cache
+}
+
+// DefaultTiming returns a model that is quick enough for a demo.
+func DefaultTiming() Timing {
+	return Timing{
+		Pool: 4 * time.Millisecond, Service: 3 * time.Millisecond,
+		First: 15 * time.Millisecond, Prompt: 50 * time.Microsecond,
+		Token: 3 * time.Millisecond, Growth: 0.02,
+		Lag: 200 * time.Millisecond, Gap: 10, Blocks: 2000,
+	}
+}
+
+// Standin is the stand-in of one endpoint.
+type Standin struct {
+	Endpoint endpoint.Endpoint
+	Trouble  *trouble.Trouble
+
+	handler http.Handler
+	mu      sync.Mutex
+	server  *http.Server
+}
+
+// Kill closes its listener and connections.
+func (s *Standin) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		s.server.Close()
+		s.server = nil
+	}
+}
+
+// Revive opens the same address again.
+func (s *Standin) Revive() error {
+	l, err := net.Listen("tcp", s.Endpoint.Address)
+	if err != nil {
+		return fmt.Errorf("reviving endpoint %s: %w", s.Endpoint.Name, err)
+	}
+	s.serve(l)
+	return nil
+}
+
+func (s *Standin) serve(l net.Listener) {
+	server := &http.Server{Handler: s.handler, ErrorLog: discard()}
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
+	go server.Serve(l)
+}
+
+func (f *Fleet) startEndpoint(e *endpoint.Endpoint) error {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return fmt.Errorf("starting endpoint %s: %w", e.Name, err)
+	}
+	e.Address = l.Addr().String()
+	s := &Standin{Endpoint: *e, Trouble: trouble.New()}
+	s.handler = s.Trouble.Wrap(f.delayed(e.Centre, f.handlerOf(e)))
+	s.serve(l)
+	f.Standins[e.Name] = s
+	f.closers = append(f.closers, s.Kill)
+	return nil
+}
+
+// delayed adds the round trip between data centres. A stand-in does not see
+// where a call comes from, so each call takes the mean over the daemons.
+func (f *Fleet) delayed(centre string, h http.Handler) http.Handler {
+	var sum time.Duration
+	c := f.Table.Centre(centre)
+	for i := range f.options.Daemons {
+		sum += 2 * c.Far[f.centreOf(i)].Duration()
+	}
+	mean := sum / time.Duration(max(1, f.options.Daemons))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if mean > 0 {
+			sleep(r.Context(), mean)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (f *Fleet) handlerOf(e *endpoint.Endpoint) http.Handler {
+	t := f.options.Timing
+	switch e.Kind {
+	case endpoint.Engine:
+		sizes := make(map[string]int64)
+		for _, m := range f.Table.Models {
+			sizes[m.Name] = m.Size
+		}
+		return engine.New(engine.Options{
+			Name: e.Name, Slots: e.Limit, First: t.First, Prompt: t.Prompt, Token: t.Token, Growth: t.Growth,
+			Lag: t.Lag, Cache: cache.Options{Blocks: t.Blocks, Lag: t.Lag, Gap: t.Gap},
+			Models: e.Models, Sizes: sizes, Fenced: e.Fenced, Weights: f.weights,
+		}, f.Ledger)
+	case endpoint.Pool:
+		return pool.New(pool.Options{Name: e.Name, Slots: e.Limit, Time: t.Pool, Lag: t.Lag}, f.Ledger)
+	case endpoint.Service:
+		memory := f.memories[e.Role]
+		if memory == nil {
+			memory = service.NewMemory()
+			f.memories[e.Role] = memory
+		}
+		return service.New(service.Options{
+			Name: e.Name, Slots: e.Limit, Time: t.Service, Lag: t.Lag, Keyed: e.Keyed,
+		}, f.Ledger, memory)
+	default:
+		panic(fmt.Sprintf("fleet: got endpoint kind %q, want one that a frozen table holds", e.Kind))
+	}
+}
--- /dev/null
+++ b/internal/bench/member/member.go
@@ -0,0 +1,98 @@
+// Package member provides the daemons of a test fleet, within the process.
+package member
+
+// This file defines Member and its construction.
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
+	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+)
+
+// Member is one daemon.
+type Member interface {
+	// Name returns the instance's name.
+	Name() string
+	// Centre returns the data centre that it runs in.
+	Centre() string
+	// Caller, Peer and Operator return its addresses.
+	Caller() string
+	Peer() string
+	Operator() string
+	// Stop ends it gracefully.
+	Stop(ctx context.Context) error
+	// Kill ends it at once.
+	Kill()
+	// Pause stops it where it stands until the returned function is called.
+	Pause() (resume func(), err error)
+}
+
+// Local is a daemon within this process.
+type Local struct {
+	name, centre string
+	daemon       *daemon.Daemon
+	kill         func()
+}
+
+var _ Member = (*Local)(nil)
+
+// ErrNoPause is returned by members that cannot be paused.
+var ErrNoPause = errors.New("pausing daemon: it shares the process")
+
+// New starts a daemon.
+func New(ctx context.Context, c config.Config, log logr.Logger) (*Local, error) {
+	d, closeDaemon, err := daemon.New(c, log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := d.Run(ctx); err != nil {
+			log.Error(err, "daemon ended", "instance", c.Name)
+		}
+	}()
+	kill := sync.OnceFunc(func() {
+		cancel()
+		closeDaemon()
+		<-done
+	})
+	return &Local{name: c.Name, centre: c.Centre, daemon: d, kill: kill}, nil
+}
+
+// Name returns the instance's name.
+func (m *Local) Name() string { return m.name }
+
+// Centre returns the data centre that it runs in.
+func (m *Local) Centre() string { return m.centre }
+
+// Caller returns the address on which callers are served.
+func (m *Local) Caller() string { return m.daemon.CallerAddress() }
+
+// Peer returns the address on which peers are served.
+func (m *Local) Peer() string { return m.daemon.PeerAddress() }
+
+// Operator returns the address on which operators are served.
+func (m *Local) Operator() string { return m.daemon.OperatorAddress() }
+
+// Stop lets requests in flight finish and ends the daemon.
+func (m *Local) Stop(ctx context.Context) error {
+	err := m.daemon.Stop(ctx)
+	m.kill()
+	return err
+}
+
+// Kill closes listeners and connections at once.
+func (m *Local) Kill() { m.kill() }
+
+// CutPeers closes all peer sessions, as a failing network would.
+func (m *Local) CutPeers() { m.daemon.CutPeers() }
+
+// Pause is not possible here.
+func (m *Local) Pause() (func(), error) { return nil, ErrNoPause }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newTable())
+	c.AddCommand(newDemo(), newStandin(), newTable())
 	return c
 }
