--- a/cmd/jacinthstile/main.go
+++ b/cmd/jacinthstile/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/jacinthstile/jacinthstile/internal/command/exit"
 	"github.com/jacinthstile/jacinthstile/internal/command/root"
 )
 
@@ -18,6 +19,6 @@
 	defer stop()
 	if err := root.New().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthstile:", err)
-		os.Exit(1)
+		os.Exit(exit.Status(err))
 	}
 }
--- a/internal/command/root/table.go
+++ b/internal/command/root/table.go
@@ -3,33 +3,207 @@
 // This file defines the table commands.
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
+	"github.com/jacinthstile/jacinthstile/internal/command/exit"
+	"github.com/jacinthstile/jacinthstile/internal/table/change"
+	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
+	"github.com/jacinthstile/jacinthstile/internal/table/problem"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
 
+const tableLong = `Check, compare and pack tables.
+
+Exit status: 0 when the table is valid or the tables are equal, 1 when the
+command could not be carried out, 2 when the table has problems or the tables
+differ.`
+
 func newTable() *cobra.Command {
-	c := &cobra.Command{Use: "table", Short: "Check, compare and pack tables"}
-	c.AddCommand(&cobra.Command{
+	c := &cobra.Command{Use: "table", Short: "Check, compare and pack tables", Long: tableLong}
+	c.AddCommand(newTableCheck(), newTableDiff(), newTablePack())
+	return c
+}
+
+func newTableCheck() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Validate a table and name every row at fault",
+		Short: "Validate a table and name every row and column at fault",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			data, err := os.ReadFile(args[0])
+			s, err := readTable(args[0])
+			var list problem.List
+			if err != nil && !errors.As(err, &list) {
+				return err
+			}
+			if asJSON {
+				if err := printProblems(c.OutOrStdout(), list); err != nil {
+					return err
+				}
+			}
+			if err != nil {
+				return &exit.Error{Status: exit.Negative, Cause: fmt.Errorf("%d problems:\n%w", len(list), err)}
+			}
+			if !asJSON {
+				_, err = fmt.Fprintf(c.OutOrStdout(), "table %s is valid: %d endpoints, %d accounts\n",
+					s.Revision(), len(s.Endpoints), len(s.Accounts))
+			}
+			return err
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the problems as JSON")
+	return c
+}
+
+func printProblems(w io.Writer, list problem.List) error {
+	if list == nil {
+		list = problem.List{}
+	}
+	return json.NewEncoder(w).Encode(map[string]problem.List{"problems": list})
+}
+
+// readTable reads a table as an operator wrote it. Columns that no row has are
+// refused, for they are most often a slip of the pen.
+func readTable(path string) (*sheet.Sheet, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	s := new(sheet.Sheet)
+	if err := d.Decode(s); err != nil {
+		return nil, fmt.Errorf("parsing %s: %w", path, err)
+	}
+	return s, s.Freeze()
+}
+
+func newTableDiff() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "diff OLD NEW",
+		Short: "Print the rows and columns that differ, and what that does",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			before, err := readTable(args[0])
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			after, err := readTable(args[1])
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[1], err)
+			}
+			changes, err := change.Between(before, after)
+			if err != nil {
+				return err
+			}
+			if err := printChanges(c.OutOrStdout(), changes, asJSON); err != nil || len(changes) == 0 {
+				return err
+			}
+			if !after.After(before) {
+				return &exit.Error{Status: exit.Negative, Cause: fmt.Errorf(
+					"the new table would be ignored: got version %s, want one after %s", after.Revision(), before.Revision())}
+			}
+			return &exit.Error{Status: exit.Negative, Cause: fmt.Errorf("%d changes", len(changes))}
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the changes as JSON")
+	return c
+}
+
+func printChanges(w io.Writer, changes []change.Change, asJSON bool) error {
+	if asJSON {
+		if changes == nil {
+			changes = []change.Change{}
+		}
+		return json.NewEncoder(w).Encode(map[string][]change.Change{"changes": changes})
+	}
+	for _, c := range changes {
+		if _, err := fmt.Fprintln(w, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// packed is what table pack did.
+type packed struct {
+	Epoch   uint64 `json:"epoch"`
+	Version uint64 `json:"version"`
+	Objects int    `json:"objects"` // groups and parts
+	Bytes   int    `json:"bytes"`
+	New     int    `json:"new"` // files that the folder did not hold
+}
+
+func newTablePack() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "pack FILE FOLDER",
+		Short: "Write the manifest and the parts that the platform publishes",
+		Long: `Write the manifest and the parts of a valid table under FOLDER.
+
+Each file is one key of the configuration service: FOLDER/table/part/DIGEST is
+the key "table/part/DIGEST", FOLDER/table.json the key "table". Publish the parts
+first and the manifest last. Parts that no manifest names any more may be deleted
+once every instance has the new table in force.`,
+		Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := readTable(args[0])
+			var list problem.List
+			if errors.As(err, &list) {
+				return &exit.Error{Status: exit.Negative, Cause: err}
+			}
 			if err != nil {
 				return err
 			}
-			s, err := sheet.Parse(data)
+			p, err := pack(s, args[1])
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(c.OutOrStdout(), "table %d.%d is valid: %d endpoints, %d accounts\n",
-				s.Epoch, s.Version, len(s.Endpoints), len(s.Accounts))
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(p)
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "table %d.%d: %d parts of %d bytes in all, %d of them new\n",
+				p.Epoch, p.Version, p.Objects, p.Bytes, p.New)
 			return err
 		},
-	})
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print figures as JSON")
 	return c
 }
+
+func pack(s *sheet.Sheet, folder string) (packed, error) {
+	m, objects, err := manifest.Pack(s)
+	if err != nil {
+		return packed{}, err
+	}
+	out := packed{Epoch: s.Epoch, Version: s.Version, Objects: len(objects)}
+	parts := filepath.Join(folder, filepath.FromSlash(manifest.PartPrefix))
+	if err := os.MkdirAll(parts, 0o755); err != nil {
+		return packed{}, err
+	}
+	for digest, data := range objects {
+		out.Bytes += len(data)
+		path := filepath.Join(parts, digest)
+		if old, err := os.ReadFile(path); err == nil && bytes.Equal(old, data) {
+			continue
+		}
+		out.New++
+		if err := os.WriteFile(path, data, 0o644); err != nil {
+			return packed{}, err
+		}
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return packed{}, err
+	}
+	return out, os.WriteFile(filepath.Join(folder, manifest.Key+".json"), data, 0o644)
+}
--- /dev/null
+++ b/internal/command/root/table_test.go
@@ -0,0 +1,121 @@
+package root_test
+
+// This file runs the table commands as an operator does.
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/command/exit"
+	"github.com/jacinthstile/jacinthstile/internal/command/root"
+	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
+	"github.com/jacinthstile/jacinthstile/internal/table/store"
+)
+
+const example = "../../../examples/serikelang/table.json"
+
+func run(args ...string) (out string, err error) {
+	var b bytes.Buffer
+	c := root.New()
+	c.SetArgs(args)
+	c.SetOut(&b)
+	err = c.Execute()
+	return b.String(), err
+}
+
+// edited writes the example with each old text replaced by the new one that follows it.
+func edited(t *testing.T, replacements ...string) string {
+	t.Helper()
+	data, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(data)
+	for i := 0; i < len(replacements); i += 2 {
+		if !strings.Contains(text, replacements[i]) {
+			t.Fatalf("the example does not contain %q", replacements[i])
+		}
+		text = strings.Replace(text, replacements[i], replacements[i+1], 1)
+	}
+	path := filepath.Join(t.TempDir(), "table.json")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		status int
+		want   []string
+	}{
+		{"valid", example, exit.OK, nil},
+		{"no file", "nothing.json", exit.Failed, nil},
+		{"unknown column", edited(t, `"weight"`, `"wieght"`), exit.Failed, []string{`unknown field "wieght"`}},
+		{
+			"two problems at once", edited(t, `"kind": "engine"`, `"kind": "motor"`, `"version": 1`, `"version": 0`),
+			exit.Negative, []string{"kind: got motor, want engine, pool or service", "table, version: got 0, want 1 or more"},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := run("table", "check", c.path)
+			g.Expect(exit.Status(err)).To(Equal(c.status), "%v", err)
+			for _, w := range c.want {
+				g.Expect(err).To(MatchError(ContainSubstring(w)))
+			}
+		})
+	}
+}
+
+func TestDiffTellsWhatAChangeDoes(t *testing.T) {
+	g := NewWithT(t)
+	out, err := run("table", "diff", example, example)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(BeEmpty())
+
+	next := edited(t, `"version": 1,`, `"version": 2,`, `"weight": 1`, `"weight": 0`)
+	out, err = run("table", "diff", example, next)
+	g.Expect(exit.Status(err)).To(Equal(exit.Negative))
+	g.Expect(out).To(MatchRegexp(`(?m)^centre \S+, weight: 1 -> 0 \(drains: no new work within 3 s, what runs there finishes\)$`))
+	g.Expect(strings.Count(out, "\n")).To(Equal(1))
+
+	same := edited(t, `"weight": 1`, `"weight": 0`)
+	_, err = run("table", "diff", example, same)
+	g.Expect(err).To(MatchError(ContainSubstring("would be ignored")))
+}
+
+func TestPackWritesWhatInstancesJoin(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	_, err := run("table", "pack", example, folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	data, err := os.ReadFile(filepath.Join(folder, manifest.Key+".json"))
+	g.Expect(err).NotTo(HaveOccurred())
+	m, err := manifest.Parse(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	objects := store.New()
+	files, err := filepath.Glob(filepath.Join(folder, "table", "part", "*"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, f := range files {
+		part, err := os.ReadFile(f)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(objects.Put(filepath.Base(f), part)).To(Succeed())
+	}
+	_, err = m.Join(objects, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	out, err := run("table", "pack", "--json", edited(t, `"version": 1,`, `"version": 2,`), folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	var got struct{ New int }
+	g.Expect(json.Unmarshal([]byte(out), &got)).To(Succeed())
+	g.Expect(got.New).To(BeZero(), "no row changed")
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"sync"
 	"time"
@@ -51,7 +50,7 @@
 // Mesh holds the sessions of one daemon.
 type Mesh struct {
 	self    identity.Identity
-	tls     *tls.Config // nil for plain TCP
+	tls     *TLS // nil for plain TCP
 	log     logr.Logger
 	bytes   traffic
 	dials   singleflight.Group
@@ -67,11 +66,11 @@
 }
 
 // New returns a mesh without sessions, and a function that closes them all.
-// The TLS configuration serves both sides of a session; see package credential.
-func New(self identity.Identity, config *tls.Config, log logr.Logger) (*Mesh, func()) {
+// A nil security gives sessions over plain TCP.
+func New(self identity.Identity, security *TLS, log logr.Logger) (*Mesh, func()) {
 	m := &Mesh{
 		self:     self,
-		tls:      config,
+		tls:      security,
 		log:      log,
 		handled:  make(chan struct{}, mostHandled),
 		handlers: make(map[kind.Kind]Handler),
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -44,10 +43,7 @@
 
 func (m *Mesh) accept(ctx context.Context, raw net.Conn) {
 	meter := newMeter(raw, &m.bytes)
-	var conn net.Conn = meter
-	if m.tls != nil {
-		conn = tls.Server(meter, m.tls)
-	}
+	conn := m.tls.accepted(meter)
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
 		raw.Close()
@@ -87,7 +83,7 @@
 		return "", err
 	}
 	defer first.Close()
-	return m.greet(first, s, conn)
+	return m.greet(first, s, conn, false)
 }
 
 func (m *Mesh) track(s *session) bool {
--- /dev/null
+++ b/internal/table/change/change.go
@@ -0,0 +1,141 @@
+// Package change tells in which rows and columns two tables differ, and what
+// the difference does.
+package change
+
+// This file defines Change and Between.
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
+)
+
+// Change is one column of one row that differs, or a row that came or went.
+type Change struct {
+	Row    string `json:"row"`              // such as "endpoint llm-01"
+	Column string `json:"column,omitempty"` // empty for a row that came or went
+	Old    string `json:"old,omitempty"`
+	New    string `json:"new,omitempty"`
+	Effect string `json:"effect,omitempty"` // what it does; empty where the columns say it all
+}
+
+// String returns one line, such as "endpoint llm-01, weight: 1 -> 0 (drains: ...)".
+func (c Change) String() string {
+	s := c.Row
+	switch {
+	case c.Column != "":
+		s += fmt.Sprintf(", %s: %s -> %s", c.Column, c.Old, c.New)
+	case c.New != "":
+		s += " is new"
+	default:
+		s += " is removed"
+	}
+	if c.Effect != "" {
+		s += " (" + c.Effect + ")"
+	}
+	return s
+}
+
+// Between returns the changes from one table to another, ordered by row.
+func Between(before, after *sheet.Sheet) ([]Change, error) {
+	old, err := cells(before)
+	if err != nil {
+		return nil, err
+	}
+	next, err := cells(after)
+	if err != nil {
+		return nil, err
+	}
+	var out []Change
+	for row, columns := range old {
+		if next[row] == nil {
+			out = append(out, Change{Row: row, Old: "row", Effect: removed(row)})
+			continue
+		}
+		out = append(out, columnsBetween(row, columns, next[row])...)
+	}
+	for row := range next {
+		if old[row] == nil {
+			out = append(out, Change{Row: row, New: "row"})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int {
+		return cmp.Or(strings.Compare(a.Row, b.Row), strings.Compare(a.Column, b.Column))
+	})
+	return out, nil
+}
+
+func columnsBetween(row string, old, next map[string]string) []Change {
+	var out []Change
+	for column, was := range old {
+		if is := next[column]; is != was {
+			out = append(out, changeOf(row, column, was, is))
+		}
+	}
+	for column, is := range next {
+		if _, both := old[column]; !both {
+			out = append(out, changeOf(row, column, "", is))
+		}
+	}
+	return out
+}
+
+func changeOf(row, column, was, is string) Change {
+	c := Change{Row: row, Column: column, Old: cmp.Or(was, "none"), New: cmp.Or(is, "none")}
+	c.Effect = effect(row, column, was, is)
+	return c
+}
+
+// cells returns the columns of each row as JSON text, by row and column.
+func cells(s *sheet.Sheet) (map[string]map[string]string, error) {
+	out := make(map[string]map[string]string)
+	if err := addRow(out, "policy", s.Policy); err != nil {
+		return nil, err
+	}
+	for _, add := range []func() error{
+		func() error { return addRows(out, "centre", s.Centres) },
+		func() error { return addRows(out, "endpoint", s.Endpoints) },
+		func() error { return addRows(out, "account", s.Accounts) },
+		func() error { return addRows(out, "pipeline", s.Pipelines) },
+		func() error { return addRows(out, "model", s.Models) },
+		func() error { return addRows(out, "service", s.Services) },
+	} {
+		if err := add(); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func addRows[R any](out map[string]map[string]string, kind string, rows []R) error {
+	for _, r := range rows {
+		if err := addRow(out, kind, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addRow(out map[string]map[string]string, row string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("comparing %s: %w", row, err)
+	}
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return fmt.Errorf("comparing %s: %w", row, err)
+	}
+	columns := make(map[string]string, len(raw))
+	for column, v := range raw {
+		columns[column] = string(v)
+	}
+	if name, ok := raw["name"]; ok {
+		row += " " + strings.Trim(string(name), `"`)
+	}
+	out[row] = columns
+	return nil
+}
--- /dev/null
+++ b/internal/table/change/effect.go
@@ -0,0 +1,83 @@
+package change
+
+// This file tells what a change does.
+
+import "strings"
+
+// removed returns the effect of a row that is gone.
+func removed(row string) string {
+	kind, _, _ := strings.Cut(row, " ")
+	switch kind {
+	case "endpoint":
+		return "no new work within 3 s; streams there resume elsewhere"
+	case "account":
+		return "its key is refused"
+	case "pipeline", "model", "service":
+		return "requests that name it are refused"
+	default:
+		return ""
+	}
+}
+
+// effect returns what a changed column does, or "".
+func effect(row, column, was, is string) string {
+	kind, _, _ := strings.Cut(row, " ")
+	switch kind {
+	case "endpoint", "centre":
+		return effectOfPlace(column, was, is)
+	case "account":
+		return effectOfAccount(column, was, is)
+	case "policy":
+		return effectOfPolicy(column)
+	default:
+		return ""
+	}
+}
+
+func effectOfPlace(column, was, is string) string {
+	switch {
+	case column == "weight" && is == "0":
+		return "drains: no new work within 3 s, what runs there finishes"
+	case column == "weight" && was == "0":
+		return "takes new work again"
+	case column == "weight":
+		return "its share of new work changes"
+	case column == "leave" && is == "":
+		return "no leaving date any more"
+	case column == "leave":
+		return "must be empty by then"
+	case column == "address":
+		return "calls go to the new address"
+	case column == "models":
+		return "the engine is ordered to hold these models"
+	case column == "role":
+		return "the engine is ordered to change role"
+	default:
+		return ""
+	}
+}
+
+func effectOfAccount(column, was, is string) string {
+	limit := column == "rate" || column == "cap"
+	switch {
+	case limit && is == "0":
+		return "no limit any more"
+	case limit && was == "0":
+		return "limited from now on"
+	case column == "digest":
+		return "the key that was valid is refused, the new one is accepted"
+	default:
+		return ""
+	}
+}
+
+func effectOfPolicy(column string) string {
+	switch column {
+	case "seats":
+		return "the accounts' limits are shared out anew"
+	case "store", "away":
+		return "the pace of model loads changes"
+	default:
+		return ""
+	}
+}
