--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -5,10 +5,11 @@
 // This file defines Queue and Item.
 
 import (
+	"cmp"
 	"container/heap"
-	"time"
-
+	"slices"
 	"sync"
+	"time"
 )
 
 // Item is one waiting call. Its fields may not be changed while it waits.
@@ -37,8 +38,14 @@
 	size   int
 	clock  float64 // virtual time: pass of the lane that was served last
 	lanes  map[string]*lane[T]
-	popped time.Time
-	gap    float64 // moving mean of the time between two pops under contention, in seconds
+	pace   pace
+	before pace // before the last pop
+}
+
+// pace is the rate at which items leave the queue while others wait.
+type pace struct {
+	last time.Time
+	gap  float64 // moving mean of the time between two pops, in seconds
 }
 
 // New returns an empty queue for at most most items.
@@ -101,10 +108,28 @@
 	q.take(it)
 	q.clock = best.pass
 	best.pass += 1 / best.weight
-	q.measure(now)
+	q.before = q.pace
+	q.pace.measure(now)
 	return it
 }
 
+// Return puts back an item that Pop gave and that could not start after all,
+// as if it had not been taken.
+func (q *Queue[T]) Return(it *Item[T]) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.lanes[it.Account]
+	if l == nil {
+		l = &lane[T]{account: it.Account, weight: it.Weight, pass: q.clock}
+		q.lanes[it.Account] = l
+	}
+	l.pass = max(0, l.pass-1/l.weight)
+	q.pace = q.before
+	it.lane = l
+	heap.Push(&l.items, it)
+	q.size++
+}
+
 // Remove takes out an item that is no longer wanted and reports whether it waited.
 func (q *Queue[T]) Remove(it *Item[T]) bool {
 	q.mu.Lock()
@@ -116,7 +141,7 @@
 	return true
 }
 
-// Expire removes and returns the items whose Latest has passed.
+// Expire removes and returns the items whose Latest has passed, the earliest first.
 func (q *Queue[T]) Expire(now time.Time) []*Item[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -131,6 +156,9 @@
 			delete(q.lanes, name)
 		}
 	}
+	slices.SortFunc(out, func(a, b *Item[T]) int {
+		return cmp.Or(a.Latest.Compare(b.Latest), cmp.Compare(a.Account, b.Account))
+	})
 	return out
 }
 
@@ -151,7 +179,7 @@
 		}
 	}
 	turns := min((ahead+1)*total/weight, float64(q.size+1))
-	return time.Duration(turns * q.gap * float64(time.Second))
+	return time.Duration(turns * q.pace.gap * float64(time.Second))
 }
 
 const (
@@ -159,13 +187,13 @@
 	mostGap = time.Second // a longer time between two pops says that nobody waited
 )
 
-func (q *Queue[T]) measure(now time.Time) {
-	gap := now.Sub(q.popped)
-	q.popped = now
+func (p *pace) measure(now time.Time) {
+	gap := now.Sub(p.last)
+	p.last = now
 	if gap > mostGap || gap < 0 {
 		return
 	}
-	q.gap += gapGain * (gap.Seconds() - q.gap)
+	p.gap += gapGain * (gap.Seconds() - p.gap)
 }
 
 func (q *Queue[T]) take(it *Item[T]) {
--- a/internal/admission/retry/retry.go
+++ b/internal/admission/retry/retry.go
@@ -16,7 +16,7 @@
 	// Overload is the utilisation of a role from which on no hedge is sent.
 	Overload = 0.75
 
-	hedgeFactor = 3.0                   // times the usual deviation that a call waits before it is hedged
+	hedgeFactor = 4.0                   // times the usual deviation that a call waits before it is hedged
 	hedgeLeast  = 20 * time.Millisecond // least wait before a hedge
 )
 
@@ -70,11 +70,14 @@
 }
 
 // Delay returns how long a call waits for its first answer before it is
-// hedged, from the mean and the mean deviation of that wait, and whether
-// enough is known to hedge at all.
-func Delay(mean, deviation time.Duration) (time.Duration, bool) {
+// hedged, and whether enough is known to hedge at all. It is more than the
+// usual wait, given by its mean and mean deviation, and at least a share
+// (patience, 0 to 1) of the time to spare before the deadline: a call that has
+// time to spare is hedged late, since the first attempt may yet answer.
+func Delay(mean, deviation, spare time.Duration, patience float64) (time.Duration, bool) {
 	if mean <= 0 {
 		return 0, false
 	}
-	return max(hedgeLeast, mean+time.Duration(hedgeFactor*float64(deviation))), true
+	usual := mean + time.Duration(hedgeFactor*float64(deviation))
+	return max(hedgeLeast, usual, time.Duration(patience*float64(spare))), true
 }
--- a/internal/admission/schedule/schedule.go
+++ b/internal/admission/schedule/schedule.go
@@ -39,7 +39,10 @@
 	times map[key]*measured
 }
 
-type key struct{ pipeline, stage string }
+type key struct {
+	pipeline, stage string
+	first           bool // the time to the first token instead of the whole
+}
 
 type measured struct{ mean, deviation float64 } // nanoseconds
 
@@ -58,7 +61,15 @@
 
 // Observe records the service time of a stage that succeeded, without its wait in a queue.
 func (s *Schedule) Observe(pipeline, stage string, took time.Duration) {
-	k := key{pipeline, stage}
+	s.observe(key{pipeline: pipeline, stage: stage}, took)
+}
+
+// ObserveFirst records the time from the send to the first token of a stage.
+func (s *Schedule) ObserveFirst(pipeline, stage string, first time.Duration) {
+	s.observe(key{pipeline: pipeline, stage: stage, first: true}, first)
+}
+
+func (s *Schedule) observe(k key, took time.Duration) {
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -75,15 +86,28 @@
 // Time returns the mean and mean deviation of a stage, or what the table
 // expects of it as long as nothing was measured.
 func (s *Schedule) Time(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
-	k := key{p.Name, p.Stages[i].Name}
+	if mean, deviation = s.get(key{pipeline: p.Name, stage: p.Stages[i].Name}); mean > 0 {
+		return mean, deviation
+	}
+	expected := p.Stages[i].Time.Duration()
+	return expected, expected / 2
+}
+
+// First returns the mean and mean deviation of the time to the first token of
+// a stage, or zero as long as none was measured.
+func (s *Schedule) First(p *pipeline.Pipeline, i int) (mean, deviation time.Duration) {
+	return s.get(key{pipeline: p.Name, stage: p.Stages[i].Name, first: true})
+}
+
+func (s *Schedule) get(k key) (mean, deviation time.Duration) {
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if m := sh.times[k]; m != nil {
-		return time.Duration(m.mean), time.Duration(m.deviation)
+	m := sh.times[k]
+	if m == nil {
+		return 0, 0
 	}
-	expected := p.Stages[i].Time.Duration()
-	return expected, expected / 2
+	return time.Duration(m.mean), time.Duration(m.deviation)
 }
 
 // Budget returns the part of the time left that stage i may use: what the
@@ -109,12 +133,13 @@
 	return time.Duration(float64(left) * float64(own) / float64(own+means))
 }
 
-// Need returns the mean time of stage i and all later ones, without waits.
+// Need returns the time that stage i and all later ones take in all but few
+// cases: their means and some deviations, without waits in queues.
 func (s *Schedule) Need(p *pipeline.Pipeline, i int) time.Duration {
 	var need time.Duration
 	for j := i; j < len(p.Stages); j++ {
-		mean, _ := s.Time(p, j)
-		need += mean
+		mean, deviation := s.Time(p, j)
+		need += mean + time.Duration(reserve*float64(deviation))
 	}
 	return need
 }
--- /dev/null
+++ b/internal/bench/experiment/entry.go
@@ -0,0 +1,293 @@
+package experiment
+
+// This file defines entry, an entry instance that calls the decision packages.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/queue"
+	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
+	"github.com/jacinthstile/jacinthstile/internal/admission/schedule"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/table/pipeline"
+)
+
+const (
+	mostAttempts = 3    // of a policy without admission
+	moreAttempts = 5    // within the retry budget
+	mostWaiting  = 2000 // calls in one queue of an entry instance
+	nearDelay    = 300 * time.Microsecond
+)
+
+type waiting struct{ role, model string }
+
+// entry is one entry instance with a board of its own.
+type entry struct {
+	bench    *bench
+	centre   string
+	board    *board.Board
+	picker   *picker.Picker
+	budget   *retry.Budget
+	schedule *schedule.Schedule
+	queues   map[waiting]*queue.Queue[*request]
+	roles    []waiting // the keys of queues, in order
+}
+
+func (e *entry) queue(s *pipeline.Stage) *queue.Queue[*request] {
+	k := waiting{s.Role, s.Model}
+	q := e.queues[k]
+	if q == nil {
+		q = queue.New[*request](mostWaiting)
+		e.queues[k] = q
+		e.roles = append(e.roles, k)
+	}
+	return q
+}
+
+// arrive admits a request or refuses it.
+func (e *entry) arrive(r *request) {
+	now := e.bench.line.now
+	if e.bench.policy.Admission {
+		var wait time.Duration
+		for i := range r.pipeline.Stages {
+			wait += e.queue(&r.pipeline.Stages[i]).Wait(r.account.Name, r.account.Weight)
+		}
+		if v := e.schedule.Fits(r.pipeline, 0, r.deadline.Sub(now), wait); !v.Fits {
+			r.note(now, "refused: need %s, wait %s", v.Need, wait)
+			e.finish(r, refused)
+			return
+		}
+	}
+	if !e.bench.endless {
+		e.bench.line.after(r.deadline.Sub(now), func() { e.expire(r) })
+	}
+	e.enter(r)
+}
+
+// enter starts the stage that the request has come to.
+func (e *entry) enter(r *request) {
+	r.entered = e.bench.line.now
+	r.attempts = 0
+	r.tried = nil
+	e.try(r)
+}
+
+// try sends the stage's call, or lets it wait where all endpoints are full.
+func (e *entry) try(r *request) {
+	now := e.bench.line.now
+	c := e.pick(r)
+	switch {
+	case c.Endpoint != nil:
+		e.send(r, c)
+	case c.Full && e.bench.policy.Admission:
+		e.wait(r)
+	default:
+		r.note(now, "no endpoint: %s", c.Reason)
+		e.finish(r, failed)
+	}
+}
+
+func (e *entry) pick(r *request) picker.Choice {
+	st := r.stage()
+	q := picker.Query{Role: st.Role, Model: st.Model, Expect: st.Time.Duration(), Tried: r.tried, Now: e.bench.line.now}
+	if st.Model != "" {
+		q.Blocks = r.blocks
+	}
+	return e.picker.Pick(e.bench.table, q)
+}
+
+func (e *entry) wait(r *request) {
+	now := e.bench.line.now
+	latest := r.deadline.Add(-e.schedule.Need(r.pipeline, r.index))
+	if latest.Before(now) {
+		e.finish(r, failed)
+		return
+	}
+	r.note(now, "waits for %s", r.stage().Role)
+	r.item = &queue.Item[*request]{Account: r.account.Name, Weight: r.account.Weight, Latest: latest, Value: r}
+	if out := e.queue(r.stage()).Push(r.item); out != nil {
+		out.Value.note(now, "queue full")
+		e.finish(out.Value, refused)
+	}
+}
+
+// dispatch starts what can start of one queue.
+func (e *entry) dispatch(k waiting) {
+	q := e.queues[k]
+	if q == nil {
+		return
+	}
+	now := e.bench.line.now
+	for _, it := range q.Expire(now) {
+		it.Value.note(now, "expired in the queue")
+		e.finish(it.Value, failed)
+	}
+	for {
+		it := q.Pop(now)
+		if it == nil {
+			return
+		}
+		c := e.pick(it.Value)
+		if c.Endpoint == nil {
+			q.Return(it)
+			return
+		}
+		it.Value.item = nil
+		e.send(it.Value, c)
+	}
+}
+
+// send starts an attempt after the last check of weight and leaving.
+func (e *entry) send(r *request, c picker.Choice) {
+	b := e.bench
+	if !picker.Allowed(b.table, e.board, c.Endpoint.Name) {
+		panic("experiment: got a choice that is not allowed")
+	}
+	r.attempts++
+	if r.attempts == 1 {
+		b.tally.first++
+		e.budget.First(b.share)
+	}
+	w := b.workers[c.Endpoint.Name]
+	b.attempts++
+	a := &attempt{number: b.attempts, request: r, stage: r.index, worker: w, sent: b.line.now}
+	a.far = nearDelay + b.table.Centre(w.Centre).Far[e.centre].Duration()
+	r.flying = append(r.flying, a)
+	r.note(b.line.now, "%s to %s (%s)", r.stage().Name, w.Name, c.Reason)
+	e.board.Start(w.Name, b.line.now)
+	b.line.after(a.far, func() {
+		extra := r.attempts > 1
+		w.arrive(a)
+		if a.reached && extra {
+			b.tally.extra++
+		}
+	})
+	if b.policy.Admission && r.attempts == 1 && !r.stage().Once {
+		e.hedgeLater(r, a, c.Load)
+	}
+}
+
+// hedgeLater sends a second attempt when the first has given no token in the usual time.
+func (e *entry) hedgeLater(r *request, a *attempt, load float64) {
+	mean, deviation := e.schedule.First(r.pipeline, r.index)
+	if mean == 0 {
+		mean, deviation = e.schedule.Time(r.pipeline, r.index)
+	}
+	spare := r.deadline.Sub(e.bench.line.now) - 2*e.schedule.Need(r.pipeline, r.index)
+	delay, ok := retry.Delay(mean, deviation, spare, e.bench.patience)
+	if !ok {
+		return
+	}
+	e.bench.line.after(delay, func() {
+		if a.ended || a.first > 0 || r.over || len(r.flying) != 1 || !e.budget.Hedge(load) {
+			return
+		}
+		r.tried = append(r.tried, a.worker.Name)
+		if c := e.pick(r); c.Endpoint != nil && c.Endpoint.Name != a.worker.Name {
+			r.note(e.bench.line.now, "hedge")
+			e.bench.tally.hedges++
+			e.send(r, c)
+		}
+	})
+}
+
+// done ends an attempt and frees its place.
+func (e *entry) done(a *attempt, k failure.Kind) {
+	now := e.bench.line.now
+	a.ended = true
+	r := a.request
+	r.flying = slices.DeleteFunc(r.flying, func(x *attempt) bool { return x == a })
+	res := board.Result{Took: now.Sub(a.sent), First: a.first, Kind: k}
+	if k == 0 && a.worker.cache != nil {
+		res.Blocks = r.blocks
+	}
+	e.board.Done(a.worker.Name, res, now)
+	if k != 0 {
+		a.worker.cancel(a)
+	}
+}
+
+func (e *entry) succeeded(a *attempt) {
+	r := a.request
+	st := r.stage()
+	now := e.bench.line.now
+	took := now.Sub(a.sent)
+	e.done(a, 0)
+	e.cancelAll(r)
+	e.schedule.Observe(r.pipeline.Name, st.Name, took)
+	if a.first > 0 {
+		e.schedule.ObserveFirst(r.pipeline.Name, st.Name, a.first)
+	}
+	r.note(now, "%s done by %s", st.Name, a.worker.Name)
+	if a.worker.cache != nil && !now.Before(e.bench.faultAt()) && now.Before(e.bench.end) {
+		e.bench.made++
+	}
+	if r.index++; r.index == len(r.pipeline.Stages) {
+		e.finish(r, answered)
+	} else {
+		e.enter(r)
+	}
+	e.dispatchAll(waiting{st.Role, st.Model})
+}
+
+func (e *entry) failed(a *attempt, k failure.Kind) {
+	r := a.request
+	st := r.stage()
+	now := e.bench.line.now
+	e.done(a, k)
+	r.note(now, "%s failed at %s: %s", st.Name, a.worker.Name, k)
+	if len(r.flying) == 0 && !r.over {
+		r.tried = append(r.tried, a.worker.Name)
+		if e.mayRetry(r, k) {
+			e.try(r)
+		} else {
+			e.finish(r, failed)
+		}
+	}
+	e.dispatchAll(waiting{st.Role, st.Model})
+}
+
+func (e *entry) mayRetry(r *request, k failure.Kind) bool {
+	if r.stage().Once && k != failure.Unsent {
+		return false
+	}
+	if !e.bench.policy.Admission {
+		return r.attempts < mostAttempts
+	}
+	return r.attempts < moreAttempts && (k == failure.Unsent || e.budget.Retry())
+}
+
+func (e *entry) cancelAll(r *request) {
+	for _, a := range slices.Clone(r.flying) {
+		e.done(a, failure.Late)
+	}
+}
+
+// expire ends a request at its deadline.
+func (e *entry) expire(r *request) {
+	if r.over {
+		return
+	}
+	r.note(e.bench.line.now, "deadline")
+	st := r.stage()
+	if r.item != nil {
+		e.queue(st).Remove(r.item)
+	}
+	e.cancelAll(r)
+	e.finish(r, late)
+	e.dispatchAll(waiting{st.Role, st.Model})
+}
+
+func (e *entry) finish(r *request, o outcome) {
+	r.over = true
+	e.bench.tally.count(r, o, e.bench.line.now)
+}
+
+func (e *entry) dispatchAll(k waiting) {
+	if e.bench.policy.Admission {
+		e.dispatch(k)
+	}
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newTable())
+	c.AddCommand(newDemo(), newTable(), newExperiment())
 	return c
 }
--- a/internal/routing/board/board.go
+++ b/internal/routing/board/board.go
@@ -27,14 +27,14 @@
 
 type shard struct {
 	mu   sync.Mutex
-	rows map[string]*row
+	rows map[string]*Row
 }
 
 // New returns an empty board.
 func New() *Board {
 	b := &Board{index: prefix.NewIndex()}
 	for i := range b.shards {
-		b.shards[i].rows = make(map[string]*row)
+		b.shards[i].rows = make(map[string]*Row)
 	}
 	return b
 }
@@ -43,29 +43,26 @@
 	return &b.shards[xxhash.Sum64String(name)%shards]
 }
 
-func (s *shard) row(name string) *row {
+func (s *shard) row(name string) *Row {
 	r := s.rows[name]
 	if r == nil {
-		r = new(row)
+		r = &Row{mu: &s.mu}
 		s.rows[name] = r
 	}
 	return r
 }
 
-// Get returns what is known of an endpoint.
-func (b *Board) Get(name string) Stat {
+// Row returns an endpoint's place, and makes one for an endpoint not seen before.
+func (b *Board) Row(name string) *Row {
 	s := b.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.rows[name]; r != nil {
-		st := r.Stat
-		st.Limit = r.ceiling.Limit()
-		return st
-	}
-	var unknown row
-	return Stat{Limit: unknown.ceiling.Limit()}
+	return s.row(name)
 }
 
+// Get returns what is known of an endpoint.
+func (b *Board) Get(name string) Stat { return b.Row(name).Get() }
+
 // Start counts a call to an endpoint as in flight from now on.
 func (b *Board) Start(name string, now time.Time) {
 	s := b.shard(name)
--- a/internal/routing/board/stat.go
+++ b/internal/routing/board/stat.go
@@ -5,7 +5,6 @@
 import (
 	"time"
 
-	"github.com/jacinthstile/jacinthstile/internal/admission/ceiling"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 )
 
@@ -58,53 +57,47 @@
 	return time.Duration(now.UnixNano() - s.starts/int64(s.InFlight))
 }
 
-type row struct {
-	Stat
-	ceiling ceiling.Ceiling
-	history history
+func (r *Row) start(now time.Time) {
+	r.stat.InFlight++
+	r.stat.starts += now.UnixNano()
+	r.history.add(now, r.stat.InFlight)
 }
 
-func (r *row) start(now time.Time) {
-	r.InFlight++
-	r.starts += now.UnixNano()
-	r.history.add(now, r.InFlight)
-}
-
-func (r *row) done(res Result, now time.Time) {
+func (r *Row) done(res Result, now time.Time) {
 	latency := res.First
 	if latency == 0 {
 		latency = res.Took
 	}
 	if res.Kind == 0 {
-		r.ceiling.Good(latency, r.InFlight, now)
+		r.ceiling.Good(latency, r.stat.InFlight, now)
 	} else {
 		r.ceiling.Bad(now)
 	}
-	r.InFlight--
-	r.starts -= now.Add(-res.Took).UnixNano()
-	r.history.add(now, r.InFlight)
-	r.Last = now
-	r.Calls++
+	r.stat.InFlight--
+	r.stat.starts -= now.Add(-res.Took).UnixNano()
+	r.history.add(now, r.stat.InFlight)
+	r.stat.Last = now
+	r.stat.Calls++
 	r.learn(res)
 }
 
-func (r *row) learn(res Result) {
+func (r *Row) learn(res Result) {
 	switch res.Kind {
 	case 0:
-		r.Failures = 0
-		r.Errors -= errorGain * r.Errors
-		smooth(&r.Latency, res.Took)
+		r.stat.Failures = 0
+		r.stat.Errors -= errorGain * r.stat.Errors
+		smooth(&r.stat.Latency, res.Took)
 		if res.First > 0 {
-			smooth(&r.First, res.First)
+			smooth(&r.stat.First, res.First)
 		}
 	case failure.Late:
 		// The call was ended from here. It says only that it would have taken longer.
-		if res.Took > r.Latency {
-			smooth(&r.Latency, res.Took)
+		if res.Took > r.stat.Latency {
+			smooth(&r.stat.Latency, res.Took)
 		}
 	default:
-		r.Failures++
-		r.Errors += errorGain * (1 - r.Errors)
+		r.stat.Failures++
+		r.stat.Errors += errorGain * (1 - r.stat.Errors)
 	}
 }
 
@@ -116,13 +109,13 @@
 	*mean += time.Duration(latencyGain * float64(value-*mean))
 }
 
-func (r *row) report(l Load, now time.Time) {
+func (r *Row) report(l Load, now time.Time) {
 	at := now.Add(-l.Age)
-	if at.Before(r.Reported) {
+	if at.Before(r.stat.Reported) {
 		return
 	}
-	r.Reported = at
-	r.Slots = l.Slots
-	r.Load = l.Queue + l.Running
-	r.Own = r.history.at(at)
+	r.stat.Reported = at
+	r.stat.Slots = l.Slots
+	r.stat.Load = l.Queue + l.Running
+	r.stat.Own = r.history.at(at)
 }
--- a/internal/routing/outlier/outlier.go
+++ b/internal/routing/outlier/outlier.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 
 // Detector keeps the ejections of one role. It is safe for concurrent use.
 type Detector struct {
+	last    atomic.Int64 // end of the last ejection to end, nanoseconds
 	mu      sync.RWMutex
 	ejected map[string]*ejection
 	scratch []float64
@@ -53,6 +55,9 @@
 // New returns a detector that has ejected nothing.
 func New() *Detector { return &Detector{ejected: make(map[string]*ejection)} }
 
+// Quiet reports whether no endpoint is ejected now.
+func (d *Detector) Quiet(now time.Time) bool { return now.UnixNano() >= d.last.Load() }
+
 // Out reports whether an endpoint is ejected now.
 func (d *Detector) Out(name string, now time.Time) bool {
 	d.mu.RLock()
@@ -151,5 +156,6 @@
 	rest := min(mostRest, leastRest<<min(e.times, 10))
 	e.times++
 	e.until = now.Add(rest)
+	d.last.Store(max(d.last.Load(), e.until.UnixNano()))
 	e.calls = s.Calls
 }
--- a/internal/routing/picker/group.go
+++ b/internal/routing/picker/group.go
@@ -10,18 +10,21 @@
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/outlier"
 	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 )
 
 const (
-	refresh    = 500 * time.Millisecond // time between two judgements of outliers
-	nearMargin = 2 * time.Millisecond   // one-way delay above the least that counts as near
+	refresh     = 500 * time.Millisecond // time between two judgements of outliers
+	leastSaving = 2.0
+	nearMargin  = 2 * time.Millisecond // one-way delay above the least that counts as near
 )
 
 type key struct{ role, model string }
 
 type member struct {
 	*endpoint.Endpoint
+	row    *board.Row
 	weight float64       // of row and data centre, relative to the greatest of the group
 	far    time.Duration // one-way delay
 	share  int           // this instance's share of the row's limit; 0 for no limit
@@ -35,13 +38,14 @@
 	names    map[string]int
 	eject    float64
 	price    float64 // mean price of a busy second
+	saving   float64 // worth of a second of cached prompt, in seconds of latency
 	detector *outlier.Detector
 	judged   atomic.Int64 // nanoseconds
 	turn     atomic.Uint64
 }
 
 func (p *Picker) newGroup(s *sheet.Sheet, k key) *group {
-	g := &group{names: make(map[string]int), eject: s.Policy.Eject, detector: p.detector(k)}
+	g := &group{names: make(map[string]int), eject: s.Policy.Eject, saving: saving(s.Policy), detector: p.detector(k)}
 	greatest := 0.0
 	for _, e := range s.Role(k.role) {
 		w := s.Weight(e.Name)
@@ -49,7 +53,7 @@
 			continue
 		}
 		greatest = max(greatest, w)
-		m := member{Endpoint: e, weight: w, far: s.Centre(e.Centre).Far[p.centre].Duration()}
+		m := member{Endpoint: e, row: p.board.Row(e.Name), weight: w, far: s.Centre(e.Centre).Far[p.centre].Duration()}
 		m.share, m.shut = p.share(e, s.Policy.Seats)
 		g.members = append(g.members, m)
 		g.price += e.Cost
@@ -66,15 +70,24 @@
 	return g
 }
 
+// saving weighs what a cached prefix saves: it shortens the call and frees the
+// engine for others, the more so where the table weighs cost.
+func saving(p *policy.Policy) float64 {
+	if p.Cost <= 0 {
+		return leastSaving
+	}
+	return leastSaving * (1 + p.Cost/(p.Cost+p.Attainment))
+}
+
 // judge lets the detector look at all members, at most once each refresh.
-func (g *group) judge(b *board.Board, now time.Time) {
+func (g *group) judge(now time.Time) {
 	last := g.judged.Load()
 	if now.UnixNano()-last < int64(refresh) || !g.judged.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
 	samples := make([]outlier.Sample, len(g.members))
 	for i := range g.members {
-		st := b.Get(g.members[i].Name)
+		st := g.members[i].row.Get()
 		samples[i] = outlier.Sample{
 			Name: g.members[i].Name, Calls: st.Calls, Errors: st.Errors, Latency: latencyOf(&st, now),
 		}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -87,6 +87,15 @@
 	if len(g.members) == 0 {
 		return Choice{Reason: Reason{Ground: NoRow}}
 	}
+	c := p.choose(g, q)
+	if c.Reason.Ground == Unusable && len(q.Tried) > 0 {
+		q.Tried = nil
+		return p.choose(g, q)
+	}
+	return c
+}
+
+func (p *Picker) choose(g *group, q Query) Choice {
 	switch r := p.rule.(type) {
 	case rule.Random:
 		return p.plain(g, q, 1, false)
@@ -97,7 +106,7 @@
 	case rule.RoundRobin:
 		return p.plain(g, q, 1, true)
 	case rule.Predicted:
-		g.judge(p.board, q.Now)
+		g.judge(q.Now)
 		return p.predict(g, q)
 	default:
 		panic(fmt.Sprintf("picker: got rule %T, want one of package rule", r))
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -61,8 +61,12 @@
 				g.Expect(c.Endpoint.Name).To(Equal("e0007"))
 			}
 			c := p.Pick(s, picker.Query{Role: "generate", Model: "m", Tried: []string{"e0007"}, Now: now})
+			g.Expect(c.Endpoint.Name).To(Equal("e0007"), "tried, but the only one that is allowed")
+			b.SetLeaving(map[string]bool{"e0007": true, "e0008": true})
+			c = p.Pick(s, picker.Query{Role: "generate", Model: "m", Now: now})
 			g.Expect(c.Endpoint).To(BeNil())
 			g.Expect(c.Full).To(BeFalse())
+			b.SetLeaving(map[string]bool{"e0008": true})
 			g.Expect(picker.Allowed(s, b, "e0007")).To(BeTrue())
 			g.Expect(picker.Allowed(s, b, "e0008")).To(BeFalse(), "leaving")
 			g.Expect(picker.Allowed(s, b, "e0009")).To(BeFalse(), "weight zero")
--- a/internal/routing/picker/plain.go
+++ b/internal/routing/picker/plain.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		seen++
-		if flying := p.board.Get(m.Name).InFlight; best == nil || flying < least {
+		if flying := m.row.Get().InFlight; best == nil || flying < least {
 			best, least = m, flying
 		}
 		if n == 2 && seen == 1 { // the second of two choices is drawn anew
--- a/internal/routing/picker/predict.go
+++ b/internal/routing/picker/predict.go
@@ -3,7 +3,6 @@
 // This file defines the rule Predicted.
 
 import (
-	"math"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
@@ -12,15 +11,15 @@
 
 const (
 	scanAll    = 24 // groups up to this size are compared as a whole
-	drawnNear  = 8  // candidates drawn from the near members of a greater group
-	drawnAll   = 4  // candidates drawn from all members
+	drawnNear  = 6  // candidates drawn from the near members of a greater group
+	drawnAll   = 3  // candidates drawn from all members
 	rounds     = 3  // times to draw while all candidates are at their limit
 	mostViews  = scanAll + prefix.MostHeld
 	assumed    = time.Second      // service time where nothing is known
 	memory     = 10 * time.Second // time after which a measured latency counts half
 	trust      = 2 * time.Second  // age at which a load report counts half
 	slotsGuess = 16               // slots where neither table nor endpoint says
-	headroom   = 1.25             // calls for each slot that may be at an endpoint
+	headroom   = 1.5              // calls for each slot that may be at an endpoint
 	crowding   = 0.5              // how much a full batch slows each call, as a share
 	faultCost  = 1.0              // service times added for each failure since the last success
 	faultFade  = 5 * time.Second  // time in which that addition fades
@@ -117,8 +116,10 @@
 			v.held = h.Blocks
 		}
 	}
-	for i := range vs.n {
-		vs.list[i].out = g.detector.Out(vs.list[i].Name, q.Now)
+	if !g.detector.Quiet(q.Now) {
+		for i := range vs.n {
+			vs.list[i].out = g.detector.Out(vs.list[i].Name, q.Now)
+		}
 	}
 }
 
@@ -133,7 +134,7 @@
 		return nil
 	}
 	v := &vs.list[vs.n]
-	*v = view{member: m, stat: p.board.Get(m.Name)}
+	*v = view{member: m, stat: m.row.Get()}
 	vs.n++
 	return v
 }
@@ -171,8 +172,7 @@
 func (v *view) predict(usual time.Duration, siblings float64, now time.Time) {
 	v.service = usual
 	if l := latencyOf(&v.stat, now); l > 0 {
-		fresh := math.Exp2(-float64(now.Sub(v.stat.Last)) / float64(memory))
-		v.service = usual + time.Duration(fresh*float64(l-usual))
+		v.service = usual + time.Duration(fade(now.Sub(v.stat.Last), memory)*float64(l-usual))
 		v.service = max(v.service, v.stat.Age(now))
 	}
 	v.slots = float64(v.stat.Slots)
@@ -202,11 +202,16 @@
 	if st.Reported.IsZero() {
 		return own + alike
 	}
-	fresh := math.Exp2(-float64(now.Sub(st.Reported)) / float64(trust))
+	fresh := fade(now.Sub(st.Reported), trust)
 	reported := float64(max(0, st.Load-st.Own))
 	return own + fresh*reported + (1-fresh)*alike
 }
 
+// fade falls from 1 at age zero to a half at age half, and on towards zero.
+func fade(age, half time.Duration) float64 {
+	return float64(half) / float64(half+max(0, age))
+}
+
 func (v *view) isFull() bool {
 	if v.share > 0 && v.stat.InFlight >= v.share {
 		return true
@@ -247,11 +252,10 @@
 	service := v.service.Seconds()
 	t := 2*v.far.Seconds() + v.wait().Seconds() + service*(1+crowding*v.load/v.slots)
 	if n := len(q.Blocks); n > 0 && v.held > 0 {
-		t -= v.stat.First.Seconds() * float64(v.held) / float64(n)
+		t -= g.saving * v.stat.First.Seconds() * float64(v.held) / float64(n)
 	}
 	if f := min(v.stat.Failures, mostFaults); f > 0 {
-		fade := math.Exp2(-float64(q.Now.Sub(v.stat.Last)) / float64(faultFade))
-		t += service * faultCost * float64(f) * fade
+		t += service * faultCost * float64(f) * fade(q.Now.Sub(v.stat.Last), faultFade)
 	}
 	if g.price > 0 {
 		t += service * (v.Cost/g.price - 1)
--- a/internal/routing/prefix/index.go
+++ b/internal/routing/prefix/index.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"slices"
-	"sort"
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -13,7 +12,7 @@
 
 const (
 	shards      = 16
-	shardBlocks = 2048 // blocks remembered by each shard
+	shardBlocks = 4096 // blocks remembered by each shard
 	mostHolders = 4    // endpoints remembered for a block
 
 	// MostHeld is the greatest number of endpoints that Find returns.
@@ -88,7 +87,10 @@
 // Find fills held with the endpoints that hold the longest prefix of a prompt,
 // and then with some that hold about half of it, and returns their number.
 func (x *Index) Find(blocks []uint64, held *[MostHeld]Held) int {
-	depth := sort.Search(len(blocks), func(i int) bool { return !x.has(blocks[i]) })
+	depth := len(blocks)
+	for depth > 0 && !x.has(blocks[depth-1]) {
+		depth--
+	}
 	n := 0
 	for depth > 0 && n < MostHeld {
 		n = x.collect(blocks[depth-1], depth, held, n)
