--- a/internal/admission/schedule/schedule.go
+++ b/internal/admission/schedule/schedule.go
@@ -109,12 +109,13 @@
 	return time.Duration(float64(left) * float64(own) / float64(own+means))
 }
 
-// Need returns the mean time of stage i and all later ones, without waits.
+// Need returns the time that stage i and all later ones take in all but few
+// cases: their means and some deviations, without waits in queues.
 func (s *Schedule) Need(p *pipeline.Pipeline, i int) time.Duration {
 	var need time.Duration
 	for j := i; j < len(p.Stages); j++ {
-		mean, _ := s.Time(p, j)
-		need += mean
+		mean, deviation := s.Time(p, j)
+		need += mean + time.Duration(reserve*float64(deviation))
 	}
 	return need
 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newStandin(), newTable(), newMeasure())
+	c.AddCommand(
+		newDemo(),
+		newExperiment(),
+		newMeasure(),
+		newStandin(),
+		newTable(),
+	)
 	return c
 }
--- a/internal/flow/runner/stage.go
+++ b/internal/flow/runner/stage.go
@@ -162,7 +162,8 @@
 // hedgeDelay returns how long the first answer may take before a hedge.
 func (s *stage) hedgeDelay() time.Duration {
 	mean, deviation := s.firsts.Time(s.job.Pipeline, s.index)
-	delay, _ := retry.Delay(mean, deviation)
+	spare := time.Until(s.job.Deadline) - 2*s.times.Need(s.job.Pipeline, s.index)
+	delay, _ := retry.Delay(mean, deviation, spare, s.tables.Current().Policy.Patience())
 	if delay == 0 {
 		return mostStall
 	}
--- a/internal/table/policy/policy.go
+++ b/internal/table/policy/policy.go
@@ -21,6 +21,14 @@
 	Away       float64   `json:"away"`       // greatest share of a model's engines that load or move at once
 }
 
+// Patience returns the weight of cost against attainment, 0 to 1. It is 0 where neither has a weight.
+func (p Policy) Patience() float64 {
+	if p.Cost <= 0 {
+		return 0
+	}
+	return p.Cost / (p.Cost + p.Attainment)
+}
+
 // Check reports the values that p may not hold.
 func (p Policy) Check(list *problem.List) {
 	const row = "policy"
