--- a/internal/command/root/measure.go
+++ b/internal/command/root/measure.go
@@ -14,11 +14,12 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/bench/rows"
 	"github.com/jacinthstile/jacinthstile/internal/bench/spread"
+	"github.com/jacinthstile/jacinthstile/internal/bench/volume"
 )
 
 func newMeasure() *cobra.Command {
 	c := &cobra.Command{Use: "measure", Short: "Measure what the design promises, on this machine"}
-	c.AddCommand(newMeasureSpread())
+	c.AddCommand(newMeasureSpread(), newMeasureVolume())
 	return c
 }
 
@@ -72,3 +73,51 @@
 	}
 	return t.Flush()
 }
+
+func newMeasureVolume() *cobra.Command {
+	o := volume.Options{Rows: rows.Full()}
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "volume",
+		Short: "Measure the bytes of a day of table changes, whole values against parts",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, err := volume.Run(o)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(r)
+			}
+			return printVolume(c.OutOrStdout(), r)
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&o.Rows.Accounts, "accounts", o.Rows.Accounts, "account rows")
+	f.IntVar(&o.Rows.Endpoints, "endpoints", o.Rows.Endpoints, "endpoint rows")
+	f.IntVar(&o.Changes, "changes", 6700, "changes in a day")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the changed rows")
+	f.BoolVar(&asJSON, "json", false, "print figures as JSON")
+	return c
+}
+
+func printVolume(w io.Writer, r volume.Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "way\tbytes a day\tbytes/s\t")
+	for _, row := range []struct {
+		name  string
+		bytes int64
+	}{
+		{fmt.Sprintf("whole table of %d values", r.Values), r.Whole},
+		{"parts, one flat manifest", r.Flat},
+		{"parts under groups", r.Parts},
+	} {
+		fmt.Fprintf(t, "%s\t%d\t%.0f\t\n", row.name, row.bytes, volume.Rate(row.bytes))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%d changes; table %d bytes, manifest %d bytes, %d objects fetched, %d bytes held already; %.1f s of CPU\n",
+		r.Changes, r.Table, r.Manifest, r.Objects, r.Saved, r.CPU)
+	return err
+}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -75,7 +75,7 @@
 		Name: c.Name, Centre: c.Centre, Incarnation: uint64(time.Now().UnixNano()), Seat: seatOf(c),
 	}
 	source, closeSource := reader.New(c.Platform)
-	engines, closeEngines := engine.New()
+	engines, closeEngines := engine.New(nil)
 	endpoints, closeEndpoints := client.New()
 	var closeMesh func()
 	d.mesh, closeMesh = mesh.New(self, nil, d.log)
--- a/internal/placement/engine/engine.go
+++ b/internal/placement/engine/engine.go
@@ -26,10 +26,14 @@
 	http *http.Client
 }
 
-// New returns a client, and a function that closes its idle connections.
-func New() (*Client, func()) {
-	t := &http.Transport{MaxIdleConns: 32, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
-	return &Client{http: &http.Client{Transport: t, Timeout: timeout}}, t.CloseIdleConnections
+// New returns a client over a transport, nil for connections of its own, and a
+// function that closes idle connections.
+func New(transport http.RoundTripper) (*Client, func()) {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConns: 32, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	}
+	c := &http.Client{Transport: transport, Timeout: timeout}
+	return &Client{http: c}, c.CloseIdleConnections
 }
 
 // Refused reports that an engine that checks fencing numbers follows a newer order.
--- a/internal/placement/issuer/issuer.go
+++ b/internal/placement/issuer/issuer.go
@@ -29,9 +29,10 @@
 const (
 	tickEvery    = time.Second
 	checkEvery   = 30 * time.Second // engines that hold what is wanted
-	confirmAfter = 2 * time.Second  // after an order, doubled at each order in a row
+	confirmAfter = 2 * time.Second  // after an order, doubled at each check
 	ranks        = 3                // issuers that watch each engine
 	checksAtOnce = 8
+	mostChecks   = 10 // that are counted
 )
 
 // Issuer watches the engines for which one seat ranks high.
@@ -54,13 +55,13 @@
 
 // watched is one engine that this issuer watches.
 type watched struct {
-	order   plan.Order
-	rank    int
-	next    time.Time // when its state is read again
-	since   time.Time // when it was first seen to differ; zero while it does not
-	ordered int       // orders in a row
-	reason  plan.Reason
-	logged  bool // reason was logged
+	order  plan.Order
+	rank   int
+	next   time.Time // when its state is read again
+	since  time.Time // when it was first seen to differ; zero while it does not
+	checks int       // since the order was sent or changed, at most mostChecks
+	reason plan.Reason
+	logged bool // reason was logged
 }
 
 // New returns an issuer for a seat, or one that issues nothing for a seat below
@@ -140,7 +141,7 @@
 	changed := !w.order.Same(o.Role, o.Models) || w.order.Address != o.Address
 	w.order, w.rank = o, rank
 	if changed {
-		w.next, w.since, w.ordered = now, time.Time{}, 0
+		w.next, w.since, w.checks = now, time.Time{}, 0
 	}
 }
 
@@ -203,7 +204,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if w.order.Same(state.Role, state.Models) {
-		w.since, w.ordered = time.Time{}, 0
+		w.since = time.Time{}
 	} else if w.since.IsZero() {
 		w.since = now
 	}
@@ -221,19 +222,23 @@
 		i.log.Info("no placement order", "endpoint", w.order.Endpoint, "table", w.order.At.String(), "reason", reason.String())
 	}
 	w.reason, w.logged = reason, true
-	switch reason {
-	case plan.Differs:
+	if reason == plan.Differs {
 		i.start(w.order)
-		w.next = now.Add(min(confirmAfter<<min(w.ordered, 10), checkEvery))
-		w.ordered++
-	case plan.Paced, plan.Capacity:
-		w.next = now.Add(tickEvery)
-	default:
-		w.next = now.Add(checkEvery)
 	}
+	w.next = now.Add(w.pause(reason))
 	return w.order, reason == plan.Differs
 }
 
+// pause returns how long to wait before the next check, and counts this one.
+func (w *watched) pause(reason plan.Reason) time.Duration {
+	if reason == plan.Paced || reason == plan.Capacity {
+		return tickEvery
+	}
+	d := min(confirmAfter<<w.checks, checkEvery)
+	w.checks = min(w.checks+1, mostChecks)
+	return d
+}
+
 // turn forgets what was started in an earlier slot. The caller holds i.mu.
 func (i *Issuer) turn(now time.Time) {
 	if n := i.clock.Number(now); n != i.number {
--- a/internal/placement/slot/slot.go
+++ b/internal/placement/slot/slot.go
@@ -5,11 +5,17 @@
 
 // This file defines Clock.
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/table/policy"
+)
 
 const (
 	// Issuers is the greatest number of seats that issue orders.
 	Issuers = 16
+	// Longest is the longest time that an order of a valid table needs.
+	Longest = policy.LongestLoad
 	// skew bounds the difference between the clocks of two instances.
 	skew    = time.Second
 	minimum = 10 * time.Second // length of a slot
--- a/internal/table/offer/offer_test.go
+++ b/internal/table/offer/offer_test.go
@@ -3,6 +3,7 @@
 // This file tests the order in which offers are fetched.
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -13,6 +14,12 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/revision"
 )
 
+// Schedules are the same on every run; -rapid.seed chooses others.
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+}
+
 var start = time.Unix(1000, 0)
 
 func at(epoch, version uint64) revision.Revision {
--- a/internal/table/policy/policy.go
+++ b/internal/table/policy/policy.go
@@ -4,10 +4,15 @@
 // This file defines Policy.
 
 import (
+	"time"
+
 	"github.com/jacinthstile/jacinthstile/internal/base/span"
 	"github.com/jacinthstile/jacinthstile/internal/table/problem"
 )
 
+// LongestLoad is the longest time that loading the models of one engine may take.
+const LongestLoad = 24 * time.Hour
+
 // Policy weighs attainment against cost and bounds extra work.
 type Policy struct {
 	Attainment float64   `json:"attainment"` // weight of answers within their deadline, 0 to 1
@@ -53,3 +58,8 @@
 		list.Add(row, "store", p.Store, "0 or more bytes a second")
 	}
 }
+
+// Loads reports whether the weight store gives so many bytes within LongestLoad.
+func (p Policy) Loads(size int64) bool {
+	return p.Store == 0 || float64(size)/float64(p.Store) <= LongestLoad.Seconds()
+}
--- a/internal/table/sheet/sheet.go
+++ b/internal/table/sheet/sheet.go
@@ -140,11 +140,7 @@
 		if e.Kind == endpoint.Service && s.services[e.Role] == nil {
 			list.Add("endpoint "+e.Name, "role", e.Role, "the name of a service")
 		}
-		for _, m := range e.Models {
-			if s.models[m] == nil {
-				list.Add("endpoint "+e.Name, "models", m, "the name of a model row")
-			}
-		}
+		s.checkModels(list, e)
 	}
 	for _, m := range s.Models {
 		if m.Pipeline != "" && s.pipelines[m.Pipeline] == nil {
@@ -160,6 +156,22 @@
 	}
 }
 
+func (s *Sheet) checkModels(list *problem.List, e endpoint.Endpoint) {
+	var size int64
+	for _, name := range e.Models {
+		m := s.models[name]
+		if m == nil {
+			list.Add("endpoint "+e.Name, "models", name, "the name of a model row")
+			continue
+		}
+		size += m.Size
+	}
+	if s.Policy != nil && !s.Policy.Loads(size) {
+		list.Add("endpoint "+e.Name, "models", fmt.Sprintf("%d bytes", size),
+			fmt.Sprintf("what the weight store gives within %s", policy.LongestLoad))
+	}
+}
+
 // Centre returns the row of that name, or nil.
 func (s *Sheet) Centre(name string) *centre.Centre { return s.centres[name] }
 
