--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newStandin(), newTable())
+	c.AddCommand(newDemo(), newExperiment(), newStandin(), newTable())
 	return c
 }
