--- a/cmd/jacinthstile/main.go
+++ b/cmd/jacinthstile/main.go
@@ -18,6 +18,6 @@
 	defer stop()
 	if err := root.New().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthstile:", err)
-		os.Exit(1)
+		os.Exit(root.ExitCode(err))
 	}
 }
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -35,6 +35,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/store"
+	"github.com/jacinthstile/jacinthstile/internal/watch/meter"
 )
 
 // Names of the base table.
@@ -78,7 +79,7 @@
 	alone := func(string) (string, bool) { return "", false }
 	self := identity.Identity{Name: "rig", Incarnation: 1}
 	k := desk.New(self, held, r.Relay.Run, nil, alone, log)
-	r.Caller = caller.New(r.Tables, r.Runner, r.Relay, keeper.New(self, 0, r.Tables, nil, nowhere, log), k, body, log)
+	r.Caller = caller.New(r.Tables, r.Runner, r.Relay, keeper.New(self, 0, r.Tables, nil, nowhere, log), k, body, meter.New(r.Scope), log)
 	return r, closeClient
 }
 
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newExperiment(), newStandin(), newTable())
+	c.AddCommand(newDemo(), newExperiment(), newStandin(), newStatus(), newTable(), newVersion())
 	return c
 }
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -5,7 +5,9 @@
 // This file defines Server and its routes.
 
 import (
+	"context"
 	"crypto/subtle"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"github.com/jacinthstile/jacinthstile/internal/flow/job"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/flow/runner"
 	"github.com/jacinthstile/jacinthstile/internal/limit/keeper"
@@ -24,6 +27,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/table/sheet"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
+	"github.com/jacinthstile/jacinthstile/internal/watch/meter"
 )
 
 // Headers of the callers' interface.
@@ -43,13 +47,14 @@
 	limits *keeper.Keeper
 	desk   *desk.Desk
 	body   int64 // most bytes of a request body
+	meter  *meter.Meter
 	log    logr.Logger
 	router chi.Router
 }
 
 // New returns a server.
-func New(t *holder.Holder, r *runner.Runner, p *relay.Relay, k *keeper.Keeper, d *desk.Desk, body int64, log logr.Logger) *Server {
-	s := &Server{tables: t, runner: r, relay: p, limits: k, desk: d, body: body, log: log}
+func New(t *holder.Holder, r *runner.Runner, p *relay.Relay, k *keeper.Keeper, d *desk.Desk, body int64, m *meter.Meter, log logr.Logger) *Server {
+	s := &Server{tables: t, runner: r, relay: p, limits: k, desk: d, body: body, meter: m, log: log}
 	s.router = s.routes()
 	return s
 }
@@ -62,11 +67,11 @@
 	m.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, newID(), fault.New(code.WrongMethod, "%s %s", r.Method, r.URL.Path))
 	})
-	m.Post("/v1/pipelines/{name}", s.admit(s.pipeline))
-	m.Post("/v1/chat/completions", s.admit(s.chat))
-	m.Get("/v1/models", s.admit(s.models))
-	m.Post("/v1/tickets", s.admit(s.ticket))
-	m.HandleFunc("/v1/services/{service}/*", s.admit(s.service))
+	m.Post("/v1/pipelines/{name}", s.admit("pipeline", s.pipeline))
+	m.Post("/v1/chat/completions", s.admit("chat", s.chat))
+	m.Get("/v1/models", s.admit("models", s.models))
+	m.Post("/v1/tickets", s.admit("ticket", s.ticket))
+	m.HandleFunc("/v1/services/{service}/*", s.admit("service", s.service))
 	return m
 }
 
@@ -81,8 +86,9 @@
 	start   time.Time
 }
 
-// admit wraps a handler: it finds the account and answers its faults.
-func (s *Server) admit(h func(http.ResponseWriter, *http.Request, visit) error) http.HandlerFunc {
+// admit wraps a handler of one kind of path: it finds the account, answers its
+// faults and counts the answer.
+func (s *Server) admit(kind string, h func(http.ResponseWriter, *http.Request, visit) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		v := visit{id: newID(), table: s.tables.Current(), start: time.Now()}
 		w.Header().Set(HeaderRequest, v.id)
@@ -91,14 +97,40 @@
 		if err == nil {
 			err = h(w, r, v)
 		}
+		counted := meter.Answered
 		if err != nil {
-			f := fault.From(err)
-			s.log.Info("refused", "request", v.id, "code", int(f.Code), "class", f.Code.Class().String(), "error", f.Error())
-			refuse(w, v.id, f)
+			counted = s.fail(w, v.id, err)
 		}
+		s.meter.Request(kind, counted, time.Since(v.start))
 	}
 }
 
+// fail logs a fault, tells the caller unless it has been told, and returns the code.
+func (s *Server) fail(w http.ResponseWriter, id string, err error) code.Code {
+	var sent *sentFault
+	f := fault.From(err)
+	if errors.As(err, &sent) {
+		f = sent.Fault
+	} else {
+		refuse(w, id, f)
+	}
+	s.log.Info("refused", "request", id, "code", int(f.Code), "class", f.Code.Class().String(), "error", f.Error())
+	return f.Code
+}
+
+// run takes a job through its stages and counts what they took.
+func (s *Server) run(ctx context.Context, table *sheet.Sheet, j job.Job, sink runner.Sink) (job.Outcome, error) {
+	out, err := s.runner.Run(ctx, j, sink)
+	for _, st := range out.Stages {
+		price := 0.0
+		if e := table.Endpoint(st.Endpoint); e != nil {
+			price = e.Cost
+		}
+		s.meter.Stage(st.Name, st.Took, st.Busy, price)
+	}
+	return out, err
+}
+
 func newID() string { return uuid.NewString() }
 
 func (s *Server) identify(r *http.Request, v *visit) error {
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -112,7 +112,7 @@
 	if body.Stream {
 		return s.chatStream(w, r, v, body, j)
 	}
-	out, err := s.runner.Run(r.Context(), j, nil)
+	out, err := s.run(r.Context(), v.table, j, nil)
 	if err != nil {
 		return err
 	}
@@ -178,7 +178,7 @@
 	stream := newEvents(w, j.Deadline)
 	defer stream.close()
 	first, next := v.chunkHeads(body.Model)
-	out, err := s.runner.Run(r.Context(), j, func(t call.Token) error {
+	out, err := s.run(r.Context(), v.table, j, func(t call.Token) error {
 		if t.Index == 0 {
 			return stream.text(first, t.Text, chunkTail)
 		}
--- a/internal/entry/caller/events.go
+++ b/internal/entry/caller/events.go
@@ -76,16 +76,21 @@
 }
 
 // end reports a fault within the stream once it has started, since the status
-// is out. It returns err where nothing has been sent yet.
+// is out, and returns it as a *sentFault. It returns err where nothing has been
+// sent yet.
 func (e *events) end(id string, err error) error {
 	if !e.started {
 		return err
 	}
+	f := fault.From(err)
 	// A caller that can't be written to has left.
-	e.send(failureOf(id, fault.From(err)))
-	return nil
+	e.send(failureOf(id, f))
+	return &sentFault{f}
 }
 
+// sentFault is a fault that the caller has been told of.
+type sentFault struct{ *fault.Fault }
+
 // appendString appends s as a JSON string.
 func appendString(buf []byte, s string) []byte {
 	if isPlain(s) {
--- a/internal/entry/caller/pipeline.go
+++ b/internal/entry/caller/pipeline.go
@@ -58,7 +58,7 @@
 		Input: body.Input, Tokens: body.Tokens, Deadline: deadline,
 	}
 	if !body.Stream {
-		out, err := s.runner.Run(r.Context(), j, nil)
+		out, err := s.run(r.Context(), v.table, j, nil)
 		if err != nil {
 			return err
 		}
@@ -73,7 +73,7 @@
 	stream := newEvents(w, j.Deadline)
 	defer stream.close()
 	var head []byte
-	out, err := s.runner.Run(r.Context(), j, func(t call.Token) error {
+	out, err := s.run(r.Context(), v.table, j, func(t call.Token) error {
 		head = append(head[:0], `{"index":`...)
 		head = strconv.AppendInt(head, int64(t.Index), 10)
 		head = append(head, `,"text":`...)
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/ticket/desk"
 	"github.com/jacinthstile/jacinthstile/internal/watch/exporter"
+	"github.com/jacinthstile/jacinthstile/internal/watch/meter"
 )
 
 // Daemon is one entry instance.
@@ -40,6 +41,7 @@
 	config   config.Config
 	log      logr.Logger
 	tables   *holder.Holder
+	source   *reader.Reader
 	feed     *feed.Feed
 	roster   *roster.Roster
 	members  *membership.Membership
@@ -49,6 +51,7 @@
 	desk     *desk.Desk
 	callers  *http.Server
 	operator *http.Server
+	meter    *meter.Meter
 	flights  atomic.Int64
 	stopping atomic.Bool
 
@@ -80,11 +83,13 @@
 	}
 	cleanUps.add(closeMetrics)
 	scope := metrics.Scope()
-	source, closeSource := reader.New(c.Platform)
+	d.meter = meter.New(scope)
+	var closeSource func()
+	d.source, closeSource = reader.New(c.Platform)
 	cleanUps.add(closeSource)
 	endpoints, closeEndpoints := client.New()
 	cleanUps.add(closeEndpoints)
-	if err := d.buildPeers(self, source, cleanUps); err != nil {
+	if err := d.buildPeers(self, cleanUps); err != nil {
 		return err
 	}
 	stats := board.New()
@@ -95,7 +100,7 @@
 	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, scope)
 	d.desk = d.newDesk(self)
 	run := runner.New(d.tables, dispatch, endpoints, budget, d.log, scope)
-	d.callers = newServer(d.counted(caller.New(d.tables, run, d.relay, d.limits, d.desk, c.Bounds.Body, d.log)))
+	d.callers = newServer(d.counted(caller.New(d.tables, run, d.relay, d.limits, d.desk, c.Bounds.Body, d.meter, d.log)))
 	cleanUps.add(func() { d.callers.Close() })
 	access, err := accessOf(c.Operator)
 	if err != nil {
@@ -107,7 +112,7 @@
 }
 
 // buildPeers makes what follows the platform and the other daemons.
-func (d *Daemon) buildPeers(self identity.Identity, source reader.Source, cleanUps *cleanUps) error {
+func (d *Daemon) buildPeers(self identity.Identity, cleanUps *cleanUps) error {
 	config, err := d.peerTLS()
 	if err != nil {
 		return err
@@ -115,11 +120,11 @@
 	var closeMesh func()
 	d.mesh, closeMesh = mesh.New(self, config, d.log)
 	cleanUps.add(closeMesh)
-	d.roster = roster.New(source, d.log)
+	d.roster = roster.New(d.source, d.log)
 	d.members = membership.New(self.Name)
 	d.mesh.Observe(d.members)
 	d.roster.Watch(d.members.Update)
-	d.feed = feed.New(source, d.mesh, d.members, d.tables, d.config.Bounds.Start.Duration(), d.log)
+	d.feed = feed.New(d.source, d.mesh, d.members, d.tables, d.config.Bounds.Start.Duration(), d.log)
 	return nil
 }
 
@@ -137,6 +142,7 @@
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
 	go d.limits.Run(ctx)
+	go d.gauge(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.listeners.caller) }()
 	go func() { failed <- d.operator.Serve(d.listeners.operator) }()
