--- a/cmd/jacinthstile/main.go
+++ b/cmd/jacinthstile/main.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jacinthstile/jacinthstile/internal/command/exit"
 	"github.com/jacinthstile/jacinthstile/internal/command/root"
 )
 
@@ -19,6 +18,6 @@
 	defer stop()
 	if err := root.New().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthstile:", err)
-		os.Exit(exit.Status(err))
+		os.Exit(root.ExitCode(err))
 	}
 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -20,7 +20,9 @@
 		newExperiment(),
 		newMeasure(),
 		newStandin(),
+		newStatus(),
 		newTable(),
+		newVersion(),
 	)
 	return c
 }
