--- a/internal/bench/demo/event.go
+++ b/internal/bench/demo/event.go
@@ -26,6 +26,9 @@
 	d.marks.kick, d.marks.kickedAt = time.Now(), last
 	d.mu.Unlock()
 	d.balancer.kick(last)
+	d.mu.Lock()
+	d.marks.kickEnd = time.Now()
+	d.mu.Unlock()
 	return d.restart(ctx, 0)
 }
 
--- a/internal/bench/matrix/page.go
+++ b/internal/bench/matrix/page.go
@@ -41,7 +41,7 @@
 		fmt.Fprintf(&b, "| %s |", f.Name)
 		for _, s := range Steps {
 			mark := "held"
-			if isRed(Cell{Step: s, Fault: f}.String()) {
+			if isRed(Cell{Step: s, Faults: []Fault{f}}.String()) {
 				mark = "red"
 			}
 			fmt.Fprintf(&b, " %s |", mark)
--- a/internal/bench/matrix/step.go
+++ b/internal/bench/matrix/step.go
@@ -141,14 +141,13 @@
 // operate makes the fault come with an operator's change: before it where the
 // change must find its way around the fault, else at once after it.
 func (r *run) operate(change func()) {
-	switch r.cell.Fault.Group {
-	case AtPlatform, AtList, AtPeers:
+	if r.cell.hits(AtPlatform, AtList, AtPeers) {
 		r.strike()
 		change()
-	default:
-		change()
-		r.strike()
+		return
 	}
+	change()
+	r.strike()
 }
 
 // actStop stops a daemon while a stream and a booking are in flight there.
@@ -167,10 +166,19 @@
 	return r.note(i, r.callers.Pipeline(ctx, r.base(i), r.table.Pipeline(pipelineName), r.input(), true, r.deadline()))
 }
 
-func (r *run) chat(ctx context.Context, i int) caller.Outcome {
+// chat makes a chat of the usual account or of the capped one.
+func (r *run) chat(ctx context.Context, i int, capped bool) caller.Outcome {
 	p := r.table.Pipeline(pipelineName)
 	turns := []caller.Message{{Role: "user", Content: r.input()}}
-	return r.note(i, r.callers.Chat(ctx, r.base(i), firstModel, p, turns, false, r.deadline()))
+	c := r.callers
+	if capped {
+		c = r.capped
+	}
+	o := c.Chat(ctx, r.base(i), firstModel, p, turns, false, r.deadline())
+	if capped {
+		r.lock(func() { r.ofCapped[o.Request] = true })
+	}
+	return r.note(i, o)
 }
 
 func (r *run) read(ctx context.Context, i int) caller.Outcome {
--- a/internal/command/root/standin.go
+++ b/internal/command/root/standin.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -62,7 +63,10 @@
 	server := &http.Server{Addr: s.listen, Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	return server.ListenAndServe()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
 }
 
 func newStandinPlatform() *cobra.Command {
