--- a/internal/bench/fleet/publish.go
+++ b/internal/bench/fleet/publish.go
@@ -93,7 +93,7 @@
 	for _, m := range members {
 		list.Instances = append(list.Instances, instance.Instance{
 			Name: m.Name(), Centre: m.Centre(), Address: address(m), State: instance.Live, Entry: true,
-			Seat: seatOf(m.Name()), Operator: m.Operator(),
+			Seat: seatOf(m.Name()), Operator: "http://" + m.Operator(),
 		})
 	}
 	return list
--- a/internal/command/inquiry/inquiry.go
+++ b/internal/command/inquiry/inquiry.go
@@ -81,6 +81,29 @@
 	return q, nil
 }
 
+// Usage is what one instance said of its endpoints, or why it said nothing.
+type Usage struct {
+	URL       string
+	Endpoints operator.Endpoints
+	Error     string
+}
+
+// Usage returns how each instance uses its endpoints, in the order of the URLs.
+func (q *Inquiry) Usage(ctx context.Context) []Usage {
+	answers := make([]Usage, len(q.urls))
+	var wg sync.WaitGroup
+	for i, url := range q.urls {
+		wg.Go(func() {
+			answers[i].URL = url
+			if err := q.get(ctx, url+"/v1/endpoints", &answers[i].Endpoints); err != nil {
+				answers[i].Error = err.Error()
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
 // Ask returns the answers in the order of the URLs.
 func (q *Inquiry) Ask(ctx context.Context) []Answer {
 	answers := make([]Answer, len(q.urls))
--- /dev/null
+++ b/internal/command/root/drain.go
@@ -0,0 +1,146 @@
+package root
+
+// This file defines the drain command.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthstile/jacinthstile/internal/command/drain"
+	"github.com/jacinthstile/jacinthstile/internal/command/inquiry"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
+	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
+)
+
+const drainEvery = time.Second
+
+// errNotEmpty ends the command with the exit code of its own.
+var errNotEmpty = exitError{code: 2, text: "the row is not empty"}
+
+type drainOptions struct {
+	inquiry  inquiry.Options
+	platform string
+	wait     bool
+	asJSON   bool
+}
+
+func newDrain() *cobra.Command {
+	var o drainOptions
+	c := &cobra.Command{
+		Use:   "drain ROW",
+		Short: "Show over all instances how an endpoint or a data centre empties",
+		Long: `Show over all instances how an endpoint or a data centre empties. The table
+empties it, by weight 0 or a date, or the platform's list.
+
+Exit codes: 0 empty; 2 not empty, or an instance did not answer; 1 any other
+fault, such as a row that the table does not have.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if o.platform != "" {
+				urls, err := listed(c.Context(), o.platform)
+				if err != nil {
+					return err
+				}
+				o.inquiry.URLs = urls
+			}
+			q, err := inquiry.New(o.inquiry)
+			if err != nil {
+				return err
+			}
+			return o.run(c.Context(), q, args[0], c.OutOrStdout())
+		},
+	}
+	f := c.Flags()
+	o.inquiry.Bind(f)
+	f.StringVar(&o.platform, "platform", "", "base URL of the configuration service, whose list names the operators' listeners")
+	f.BoolVar(&o.wait, "wait", false, "ask every second until the row is empty")
+	f.BoolVar(&o.asJSON, "json", false, "print a JSON object for each round")
+	return c
+}
+
+// listed returns the operators' listeners of the entry instances that the platform lists.
+func listed(ctx context.Context, platform string) ([]string, error) {
+	source, closeSource := reader.New(platform)
+	defer closeSource()
+	v, err := source.Read(ctx, instance.Key)
+	if err != nil {
+		return nil, fmt.Errorf("reading the instance list: %w", err)
+	}
+	var list instance.List
+	if err := json.Unmarshal(v.Data, &list); err != nil {
+		return nil, fmt.Errorf("reading the instance list: %w", err)
+	}
+	var urls []string
+	for _, i := range list.Instances {
+		if !i.Entry {
+			continue
+		}
+		if i.Operator == "" {
+			return nil, fmt.Errorf("reading the instance list: %s has no operators' URL; give --operators", i.Name)
+		}
+		urls = append(urls, i.Operator)
+	}
+	return urls, nil
+}
+
+func (o *drainOptions) run(ctx context.Context, q *inquiry.Inquiry, row string, w io.Writer) error {
+	for {
+		r, err := drain.Sum(row, q.Usage(ctx))
+		if err != nil {
+			return err
+		}
+		if err := o.print(w, r); err != nil {
+			return err
+		}
+		if r.Empty {
+			return nil
+		}
+		if !o.wait {
+			return errNotEmpty
+		}
+		select {
+		case <-time.After(drainEvery):
+		case <-ctx.Done():
+			return errNotEmpty
+		}
+	}
+}
+
+func (o *drainOptions) print(w io.Writer, r drain.Report) error {
+	if o.asJSON {
+		return json.NewEncoder(w).Encode(r)
+	}
+	state := "not empty"
+	if r.Empty {
+		state = "empty"
+	}
+	fmt.Fprintf(w, "%s %s: %d endpoints, %d in flight, last new call %s, %s\n",
+		time.Now().Format(time.TimeOnly), r.Row, r.Endpoints, r.Flights, since(r.Last), state)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "  INSTANCE\tTABLE\tNEW WORK\tIN FLIGHT\tLAST NEW CALL\t")
+	for _, n := range r.Instances {
+		if n.Error != "" {
+			fmt.Fprintf(t, "  %s\t-\t-\t-\t-\t%s\n", n.Name, n.Error)
+			continue
+		}
+		work := "yes"
+		if n.Closed {
+			work = "no"
+		}
+		fmt.Fprintf(t, "  %s\t%d.%d\t%s\t%d\t%s\t\n", n.Name, n.Epoch, n.Version, work, n.Flights, since(n.Last))
+	}
+	return t.Flush()
+}
+
+func since(t *time.Time) string {
+	if t == nil {
+		return "never"
+	}
+	return time.Since(*t).Round(100*time.Millisecond).String() + " ago"
+}
--- /dev/null
+++ b/internal/command/root/drain_test.go
@@ -0,0 +1,62 @@
+package root_test
+
+// This file checks the drain command's figures and exit codes.
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
+)
+
+// user serves how an instance uses endpoints.
+func user(t *testing.T, name string, rows ...operator.Endpoint) string {
+	s := operator.New(func() operator.Status { return operator.Status{} }, http.NotFoundHandler(), nil)
+	s.Endpoints(func() operator.Endpoints {
+		return operator.Endpoints{Name: name, Epoch: 1, Version: 7, Rows: rows}
+	})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestDrainExitCodes(t *testing.T) {
+	last := time.Now().Add(-4 * time.Second)
+	open := operator.Endpoint{Name: "llm-01", Centre: "brno", Weight: 1, Flights: 2, Last: &last}
+	busy := operator.Endpoint{Name: "llm-01", Centre: "brno", Flights: 1, Last: &last}
+	empty := operator.Endpoint{Name: "llm-01", Centre: "brno", Last: &last}
+	leaving := operator.Endpoint{Name: "llm-02", Centre: "brno", Weight: 1, Leaving: true}
+	other := operator.Endpoint{Name: "llm-03", Centre: "praha", Weight: 1, Flights: 5}
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for _, c := range []struct {
+		name string
+		row  string
+		urls []string
+		code int
+		text string
+	}{
+		{"empty", "llm-01", []string{user(t, "a", empty, other), user(t, "b", empty)}, 0, `"empty":true`},
+		{"a whole data centre", "brno", []string{user(t, "a", empty, leaving, other)}, 0, `"endpoints":2`},
+		{"in flight", "llm-01", []string{user(t, "a", busy), user(t, "b", empty)}, 2, `"flights":1`},
+		{"still open on one", "llm-01", []string{user(t, "a", empty), user(t, "b", open)}, 2, `"closed":false`},
+		{"not in force on one", "llm-01", []string{user(t, "a", empty), user(t, "b")}, 2, `"empty":false`},
+		{"no answer", "llm-01", []string{user(t, "a", empty), gone.URL}, 2, `"error":`},
+		{"no such row", "llm-99", []string{user(t, "a", empty)}, 1, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			args := []string{"drain", c.row, "--json"}
+			for _, u := range c.urls {
+				args = append(args, "--operators", u)
+			}
+			out, code := run(args...)
+			g.Expect(code).To(Equal(c.code))
+			g.Expect(out).To(ContainSubstring(c.text))
+		})
+	}
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newExperiment(), newStandin(), newStatus(), newTable(), newVersion())
+	c.AddCommand(newDemo(), newDrain(), newExperiment(), newStandin(), newStatus(), newTable(), newVersion())
 	return c
 }
--- a/internal/limit/keeper/serve.go
+++ b/internal/limit/keeper/serve.go
@@ -100,6 +100,6 @@
 	if err := proto.Unmarshal(body, &q); err != nil {
 		return nil, err
 	}
-	k.locked(q.Account, func(st *standing) { st.share.Return(q.Permit) })
+	k.locked(q.Account, func(st *standing) { st.share.Return(q.Permit, time.Now()) })
 	return proto.Marshal(new(limitpb.Given))
 }
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -10,17 +10,24 @@
 	"golang.org/x/time/rate"
 )
 
+// keepEnded is how long a return is remembered that came before its loan, as
+// happens when a paused process wakes and finds both.
+const keepEnded = 10 * time.Second
+
 // Share is what is in use here and what is lent to peers.
 type Share struct {
 	own     int
 	lent    map[uint64]time.Time // when the unit is taken back, by permit
+	ended   map[uint64]time.Time // when permits came back that were not lent yet
 	limiter *rate.Limiter        // nil until the rate is used
 	refill  time.Duration        // from no token to all
 	touched time.Time
 }
 
 // New returns a share of which nothing is in use.
-func New() *Share { return &Share{lent: make(map[uint64]time.Time)} }
+func New() *Share {
+	return &Share{lent: make(map[uint64]time.Time), ended: make(map[uint64]time.Time)}
+}
 
 // Take uses one of the given number of units, and reports false if none is free.
 func (s *Share) Take(units int, now time.Time) bool {
@@ -38,12 +45,13 @@
 }
 
 // Lend gives one of the units to a peer until a time, and reports false if
-// none is free. A permit that is lent already is lent no second time.
+// none is free. A permit that is lent already is lent no second time, and one
+// whose return overtook it is not lent.
 func (s *Share) Lend(permit uint64, units int, until, now time.Time) bool {
 	if _, known := s.lent[permit]; known {
 		return true
 	}
-	if !s.hasFree(units, now) {
+	if _, back := s.ended[permit]; back || !s.hasFree(units, now) {
 		return false
 	}
 	s.lent[permit] = until
@@ -51,7 +59,19 @@
 }
 
 // Return takes a lent unit back before its time.
-func (s *Share) Return(permit uint64) { delete(s.lent, permit) }
+func (s *Share) Return(permit uint64, now time.Time) {
+	s.touched = now
+	if _, known := s.lent[permit]; known {
+		delete(s.lent, permit)
+		return
+	}
+	for p, at := range s.ended {
+		if now.Sub(at) >= keepEnded {
+			delete(s.ended, p)
+		}
+	}
+	s.ended[permit] = now
+}
 
 func (s *Share) hasFree(units int, now time.Time) bool {
 	s.touched = now
--- /dev/null
+++ b/internal/limit/share/share_test.go
@@ -0,0 +1,64 @@
+package share_test
+
+// This file checks the counting of units and tokens at one seat.
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/limit/share"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestLentUnitComesBackAtItsTime(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	until := start.Add(10 * time.Second)
+	g.Expect(s.Lend(1, 1, until, start)).To(BeTrue())
+	g.Expect(s.Lend(1, 1, until, start)).To(BeTrue(), "the same permit asked again")
+	g.Expect(s.Take(1, until.Add(-1))).To(BeFalse())
+	g.Expect(s.Take(1, until)).To(BeTrue())
+	g.Expect(s.Take(1, until)).To(BeFalse())
+	s.Give(until)
+	g.Expect(s.Take(1, until)).To(BeTrue())
+}
+
+func TestReturnBeforeItsLoan(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	s.Return(1, start)
+	g.Expect(s.Lend(1, 1, start.Add(time.Hour), start)).To(BeFalse())
+	g.Expect(s.Take(1, start)).To(BeTrue(), "the unit is not lost")
+}
+
+func TestLoweredCapAdmitsNoneUntilBelow(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	for range 3 {
+		g.Expect(s.Take(3, start)).To(BeTrue())
+	}
+	s.Give(start)
+	g.Expect(s.Take(2, start)).To(BeFalse())
+	s.Give(start)
+	g.Expect(s.Take(2, start)).To(BeTrue())
+}
+
+func TestTokensStartFromNone(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	g.Expect(s.Draw(2, 2, start, start.Add(400*time.Millisecond))).To(BeFalse(), "the predecessor may have spent them")
+	g.Expect(s.Draw(2, 2, start, start.Add(time.Second))).To(BeTrue())
+	g.Expect(s.Draw(2, 2, start, start.Add(time.Second))).To(BeTrue())
+	g.Expect(s.Draw(2, 2, start, start.Add(time.Second))).To(BeFalse())
+}
+
+func TestIdleOnceTheTokensAreWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	g.Expect(s.Draw(0.01, 1, start.Add(-time.Hour), start)).To(BeTrue())
+	g.Expect(s.Idle(start.Add(99*time.Second), time.Minute)).To(BeFalse())
+	g.Expect(s.Idle(start.Add(100*time.Second), time.Minute)).To(BeTrue())
+}
--- a/internal/platform/instance/instance.go
+++ b/internal/platform/instance/instance.go
@@ -20,7 +20,7 @@
 	Centre   string `json:"centre"`
 	State    string `json:"state"`              // Live or Leaving
 	Entry    bool   `json:"entry,omitempty"`    // an entry instance of ours
-	Operator string `json:"operator,omitempty"` // address of an entry instance's operators' listener
+	Operator string `json:"operator,omitempty"` // base URL of an entry instance's operators' listener
 	Seat     *int   `json:"seat,omitempty"`     // of an entry instance, as in its settings; nil for none
 }
 
