--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newDrain(), newExperiment(), newStandin(), newStatus(), newTable(), newVersion())
+	c.AddCommand(
+		newDemo(),
+		newDrain(),
+		newExperiment(),
+		newMeasure(),
+		newStandin(),
+		newStatus(),
+		newTable(),
+		newVersion(),
+	)
 	return c
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -24,6 +24,8 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
+	"github.com/jacinthstile/jacinthstile/internal/placement/engine"
+	"github.com/jacinthstile/jacinthstile/internal/placement/issuer"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -45,6 +47,7 @@
 	feed     *feed.Feed
 	roster   *roster.Roster
 	members  *membership.Membership
+	issuer   *issuer.Issuer
 	mesh     *mesh.Mesh
 	board    *board.Board
 	limits   *keeper.Keeper
@@ -130,6 +133,9 @@
 	d.mesh.Observe(d.members)
 	d.roster.Watch(d.members.Update)
 	d.feed = feed.New(d.source, d.mesh, d.members, d.tables, d.config.Bounds.Start.Duration(), d.log)
+	engines, closeEngines := engine.New(nil)
+	cleanUps.add(closeEngines)
+	d.issuer = issuer.New(d.tables, self.Seat, d.roster.Leaving, engines, d.log)
 	return nil
 }
 
@@ -148,6 +154,7 @@
 	go d.feed.Run(ctx)
 	go d.limits.Run(ctx)
 	go d.followLeaving(ctx)
+	go d.issuer.Run(ctx)
 	go d.gauge(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.listeners.caller) }()
--- a/internal/entry/daemon/listen.go
+++ b/internal/entry/daemon/listen.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -92,6 +93,9 @@
 	if d.config.Peer.Cert == "" {
 		return nil, nil
 	}
+	if d.config.Peer.CA == "" {
+		return nil, errors.New("reading peer keys: got no ca file, want one by which peers prove themselves")
+	}
 	c, err := d.tlsOf(d.config.Peer)
 	if err != nil {
 		return nil, fmt.Errorf("reading peer keys: %w", err)
--- a/internal/peer/neighbour/neighbour.go
+++ b/internal/peer/neighbour/neighbour.go
@@ -15,14 +15,20 @@
 // rank, or all where there are fewer. A name that joins or leaves moves at most
 // one of the others in or out.
 func Choose(key string, names []string, n int) []string {
-	ranked := make([]scored, 0, len(names))
+	n = min(n, len(names))
+	best := make([]scored, 0, n+1) // ordered
 	for _, name := range names {
-		ranked = append(ranked, scored{name, score(key, name)})
+		s := scored{name, score(key, name)}
+		if len(best) == n && (n == 0 || s.compare(best[n-1]) > 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, s, scored.compare)
+		best = slices.Insert(best, at, s)
+		best = best[:min(n, len(best))]
 	}
-	slices.SortFunc(ranked, scored.compare)
-	out := make([]string, 0, min(n, len(ranked)))
-	for _, r := range ranked[:min(n, len(ranked))] {
-		out = append(out, r.name)
+	out := make([]string, len(best))
+	for i, s := range best {
+		out[i] = s.name
 	}
 	return out
 }
