--- /dev/null
+++ b/internal/bench/chart/chart.go
@@ -0,0 +1,150 @@
+// Package chart draws the results of loads: attainment and cost by stage
+// against offered load.
+package chart
+
+// This file defines Chart.
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/load"
+)
+
+const (
+	width  = 24 * vg.Centimeter
+	height = 20 * vg.Centimeter
+	gap    = vg.Centimeter
+)
+
+// Series is the results of one run under its name.
+type Series struct {
+	Name    string
+	Results []load.Result
+}
+
+// Chart holds the runs that are drawn together.
+type Chart struct {
+	Series []Series
+}
+
+// Write draws the chart in the format of a file's name, .png or .svg.
+func (c Chart) Write(w io.Writer, name string) error {
+	attainment, err := c.attainment()
+	if err != nil {
+		return err
+	}
+	cost, err := c.cost()
+	if err != nil {
+		return err
+	}
+	var canvas interface {
+		vg.CanvasSizer
+		io.WriterTo
+	}
+	switch ext := strings.ToLower(filepath.Ext(name)); ext {
+	case ".png":
+		canvas = vgimg.PngCanvas{Canvas: vgimg.New(width, height)}
+	case ".svg":
+		canvas = vgsvg.New(width, height)
+	default:
+		return fmt.Errorf("drawing %s: got format %q, want .png or .svg", name, ext)
+	}
+	tiles := draw.Tiles{Rows: 2, Cols: 1, PadY: gap, PadTop: gap, PadBottom: gap, PadLeft: gap, PadRight: gap}
+	plots := [][]*plot.Plot{{attainment}, {cost}}
+	for i, row := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[i][0].Draw(row[0])
+	}
+	_, err = canvas.WriteTo(w)
+	return err
+}
+
+func (c Chart) attainment() (*plot.Plot, error) {
+	p := newPlot("Attainment against offered load", "answered within the deadline")
+	p.Y.Min, p.Y.Max = 0, 1
+	var lines []any
+	for _, s := range c.Series {
+		lines = append(lines, s.Name, points(s.Results, func(r load.Result) (float64, bool) { return r.Attainment, true }))
+	}
+	return p, plotutil.AddLinePoints(p, lines...)
+}
+
+func (c Chart) cost() (*plot.Plot, error) {
+	p := newPlot("Cost by stage against offered load", "busy seconds a call")
+	p.Y.Min = 0
+	var lines []any
+	for _, s := range c.Series {
+		for _, name := range stagesOf(s.Results) {
+			label := name
+			if len(c.Series) > 1 {
+				label = s.Name + " " + name
+			}
+			lines = append(lines, label, points(s.Results, func(r load.Result) (float64, bool) { return costOf(r, name) }))
+		}
+	}
+	return p, plotutil.AddLinePoints(p, lines...)
+}
+
+func newPlot(title, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "requests a second"
+	p.X.Min = 0
+	p.Y.Label.Text = y
+	p.Add(plotter.NewGrid())
+	p.Legend.Top = true
+	return p
+}
+
+// points returns a value of each result that has one, by rising offered load.
+func points(results []load.Result, value func(load.Result) (float64, bool)) plotter.XYs {
+	var xys plotter.XYs
+	for _, r := range results {
+		if v, ok := value(r); ok {
+			xys = append(xys, plotter.XY{X: r.Offered, Y: v})
+		}
+	}
+	slices.SortStableFunc(xys, func(a, b plotter.XY) int {
+		switch {
+		case a.X < b.X:
+			return -1
+		case a.X > b.X:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return xys
+}
+
+func stagesOf(results []load.Result) []string {
+	var names []string
+	for _, r := range results {
+		for _, s := range r.Stages {
+			if !slices.Contains(names, s.Name) {
+				names = append(names, s.Name)
+			}
+		}
+	}
+	return names
+}
+
+func costOf(r load.Result, name string) (float64, bool) {
+	for _, s := range r.Stages {
+		if s.Name == name {
+			return s.Busy, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/bench/chart/chart_test.go
@@ -0,0 +1,30 @@
+package chart_test
+
+// This file tests that charts are drawn in both formats.
+
+import (
+	"bytes"
+	"image/png"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/chart"
+	"github.com/jacinthstile/jacinthstile/internal/bench/load"
+)
+
+func TestChart(t *testing.T) {
+	g := NewWithT(t)
+	c := chart.Chart{Series: []chart.Series{{Name: "ours", Results: []load.Result{
+		{Offered: 10, Attainment: 1, Stages: []load.Cost{{Name: "encode", Busy: 0.01}, {Name: "generate", Busy: 1}}},
+		{Offered: 20, Attainment: 0.9, Stages: []load.Cost{{Name: "encode", Busy: 0.02}, {Name: "generate", Busy: 1.2}}},
+	}}}}
+	var image, text bytes.Buffer
+	g.Expect(c.Write(&image, "load.png")).To(Succeed())
+	_, err := png.Decode(&image)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Write(&text, "load.SVG")).To(Succeed())
+	g.Expect(text.String()).To(ContainSubstring("<svg"))
+	g.Expect(text.String()).To(ContainSubstring("generate"))
+	g.Expect(c.Write(&text, "load.gif")).To(MatchError(ContainSubstring(".gif")))
+}
--- /dev/null
+++ b/internal/bench/load/load_test.go
@@ -0,0 +1,130 @@
+package load_test
+
+// This file tests the load against a daemon's parts and against a slow server.
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/span"
+	"github.com/jacinthstile/jacinthstile/internal/bench/load"
+	"github.com/jacinthstile/jacinthstile/internal/bench/rig"
+	"github.com/jacinthstile/jacinthstile/internal/standin/engine"
+	"github.com/jacinthstile/jacinthstile/internal/standin/ledger"
+	"github.com/jacinthstile/jacinthstile/internal/standin/pool"
+	"github.com/jacinthstile/jacinthstile/internal/standin/service"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func run(t *testing.T, p load.Plan) []load.Result {
+	l, closeLoad, err := load.New(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeLoad()
+	var results []load.Result
+	if err := l.Run(t.Context(), func(r load.Result) error {
+		results = append(results, r)
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return results
+}
+
+func plan(url string, mix ...load.Request) load.Plan {
+	return load.Plan{
+		URLs: []string{url}, Accounts: []load.Account{{Key: rig.Key, Weight: 1}}, Mix: mix,
+		Steps:    []load.Step{{Rate: 50, Length: span.Span(time.Second)}, {Rate: 100, Length: span.Span(time.Second / 2)}},
+		Deadline: span.Span(5 * time.Second), Flight: 500, Seed: 1,
+	}
+}
+
+func TestEveryKindOfRequestIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	l := ledger.New()
+	p := serve(t, pool.New(pool.Options{Name: "p", Slots: 8, Time: time.Millisecond}, l))
+	table := rig.Table(
+		rig.Pool("e", p, "encode"), rig.Pool("r", p, "retrieve"), rig.Pool("k", p, "rerank"),
+		rig.Engine("g", serve(t, engine.New(engine.Options{Name: "g", Slots: 64, Token: time.Millisecond}, l))),
+		rig.Worker("w", serve(t, service.New(service.Options{Name: "w", Time: time.Millisecond}, l, nil))),
+	)
+	g.Expect(table.Freeze()).To(Succeed())
+	r, closeRig := rig.New(table, logr.Discard())
+	defer closeRig()
+	results := run(t, plan("http://"+serve(t, r.Caller),
+		load.Request{Kind: load.Pipeline, Name: "four", Weight: 1},
+		load.Request{Kind: load.Pipeline, Name: "four", Weight: 1, Stream: true},
+		load.Request{Kind: load.Chat, Name: rig.Model, Weight: 1, Tokens: 4},
+		load.Request{Kind: load.Chat, Name: rig.Model, Weight: 1, Stream: true},
+		load.Request{Kind: load.Call, Name: rig.Service, Path: "/status", Weight: 1},
+		load.Request{Kind: load.Order, Name: rig.Service, Path: "/reserve", Weight: 1},
+	))
+	g.Expect(results).To(HaveLen(2))
+	for _, r := range results {
+		g.Expect(r.Sent).To(BeNumerically(">", 20))
+		g.Expect(r.Answered).To(Equal(r.Sent), "%+v", r)
+		g.Expect(r.Attainment).To(Equal(1.0))
+		g.Expect(r.Stages).To(HaveLen(4))
+		g.Expect(r.Latency.P50).To(BeNumerically(">", 0))
+		g.Expect(r.First.P50).To(BeNumerically(">", 0))
+	}
+}
+
+// A server that stands still for a while delays all that were due meanwhile,
+// not only the one request that it held.
+func TestLatencyCountsFromTheIntendedTime(t *testing.T) {
+	g := NewWithT(t)
+	gate := make(chan struct{}, 1)
+	stall := time.Now().Add(300 * time.Millisecond)
+	url := "http://" + serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		gate <- struct{}{}
+		defer func() { <-gate }()
+		time.Sleep(time.Until(stall))
+		json.NewEncoder(w).Encode(map[string]any{"stages": []any{}})
+	}))
+	p := plan(url, load.Request{Kind: load.Pipeline, Name: "x", Weight: 1})
+	p.Steps = []load.Step{{Rate: 200, Length: span.Span(600 * time.Millisecond)}}
+	r := run(t, p)[0]
+	g.Expect(r.Sent).To(BeNumerically(">", 60))
+	g.Expect(r.Latency.Max).To(BeNumerically(">", 200))
+	// A third or more of all were due while the server stood still, each with
+	// the rest of that time to wait; a closed loop would have seen one of them.
+	g.Expect(r.Latency.P95).To(BeNumerically(">", 100))
+}
+
+func TestArrivalsBeyondTheFlightBoundCountAsMissed(t *testing.T) {
+	g := NewWithT(t)
+	url := "http://" + serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Second):
+		}
+	}))
+	p := plan(url, load.Request{Kind: load.Pipeline, Name: "x", Weight: 1})
+	p.Steps = p.Steps[:1]
+	p.Flight = 3
+	r := run(t, p)[0]
+	g.Expect(r.Sent).To(BeNumerically("<=", 6))
+	g.Expect(r.Skipped).To(BeNumerically(">", 20))
+	g.Expect(r.Attainment).To(BeZero())
+}
+
+func TestPlanNamesEveryFault(t *testing.T) {
+	g := NewWithT(t)
+	err := load.Plan{URLs: []string{"x"}, Mix: []load.Request{{Kind: "talk"}}, Steps: []load.Step{{Rate: -1}}}.Check()
+	for _, want := range []string{"urls[0]", "deadline", "flight", "accounts", "mix[0].kind", "steps[0]"} {
+		g.Expect(err).To(MatchError(ContainSubstring(want)))
+	}
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newStandin(), newTable())
+	c.AddCommand(newDemo(), newLoad(), newStandin(), newTable())
 	return c
 }
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -145,22 +144,3 @@
 	}
 	return failure.New(kind, nil, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 }
-
-func (c *Client) getJSON(ctx context.Context, url string, into any) error {
-	resp, err := c.send(ctx, request{method: http.MethodGet, url: url})
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return refusal(resp)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
-	if err == nil {
-		err = json.Unmarshal(data, into)
-	}
-	if err != nil {
-		return failure.New(failure.Lost, err, "reading %s", url)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/endpoint/poller/poller_test.go
@@ -0,0 +1,119 @@
+package poller_test
+
+// This file tests what polls tell the board, and what they cost.
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/jacinthstile/jacinthstile/internal/bench/rig"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/poller"
+	"github.com/jacinthstile/jacinthstile/internal/routing/board"
+	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
+	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
+	"github.com/jacinthstile/jacinthstile/internal/table/holder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a poller over the rows until the test ends.
+func start(t *testing.T, b *board.Board, rows ...endpoint.Endpoint) {
+	table := rig.Table(rows...)
+	if err := table.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	tables := holder.New()
+	tables.Raise(table)
+	c, closeClient := client.New()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { poller.New(tables, b, c, logr.Discard()).Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		closeClient()
+	})
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestReportsAndEventsReachTheBoard(t *testing.T) {
+	g := NewWithT(t)
+	blocks := prefix.Blocks(nil, strings.Repeat("tank log ", 100))
+	var mu sync.Mutex
+	var asked []string
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/load" {
+			fmt.Fprint(w, `{"queue":3,"running":4,"slots":16,"age":1000}`)
+			return
+		}
+		mu.Lock()
+		asked = append(asked, r.URL.Query().Get("after"))
+		mu.Unlock()
+		fmt.Fprintf(w, `{"next":7,"events":[{"seq":6,"block":"%016x"},{"seq":7,"block":"bad"}]}`, blocks[0])
+	})
+	b := board.New()
+	start(t, b, rig.Engine("a", address))
+	g.Eventually(func() int { return b.Get("a").Load }, 5*time.Second).Should(Equal(7))
+	g.Expect(b.Get("a").Slots).To(Equal(16))
+	g.Eventually(func() int {
+		var held [prefix.MostHeld]prefix.Held
+		return b.Holders(blocks, &held)
+	}, 5*time.Second).Should(Equal(1))
+	g.Eventually(func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), asked...)
+	}, 5*time.Second).Should(ContainElement("7"))
+}
+
+// The bytes of a second don't grow with the endpoints or with what they send.
+func TestPollsStayWithinTheirBytes(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	polls := 0
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		polls++
+		mu.Unlock()
+		if r.URL.Path == "/v1/load" {
+			fmt.Fprint(w, `{"slots":16}`)
+			return
+		}
+		fmt.Fprint(w, `{"next":90000,"events":[`)
+		for n := range 1000 {
+			fmt.Fprintf(w, `{"seq":%d,"block":"%016x","drop":false},`, n+1, n)
+		}
+		fmt.Fprint(w, `{"seq":1001,"block":"00"}]}`)
+	})
+	var rows []endpoint.Endpoint
+	for n := range 1000 {
+		rows = append(rows, rig.Engine(fmt.Sprintf("e%d", n), address))
+	}
+	b := board.New()
+	for n := range 100 {
+		b.Start(rows[n].Name, time.Now())
+	}
+	start(t, b, rows...)
+	time.Sleep(2 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	// 12 KB saved up and 2 s of 6 KB, at 500 bytes or more each.
+	g.Expect(polls).To(BeNumerically("<=", 49))
+	g.Expect(polls).To(BeNumerically(">", 5))
+}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/poller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -27,6 +28,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/peer/roster"
+	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -49,6 +51,7 @@
 	tables   *holder.Holder
 	feed     *feed.Feed
 	roster   *roster.Roster
+	poller   *poller.Poller
 	members  *membership.Membership
 	mesh     *mesh.Mesh
 	limits   *keeper.Keeper
@@ -82,6 +85,8 @@
 	d.feed = feed.New(source, d.mesh, d.members, d.tables, c.Bounds.Start.Duration(), d.log)
 
 	stats := board.New()
+	d.roster.Watch(func(*instance.List) { stats.SetLeaving(d.roster.Leaving()) })
+	d.poller = poller.New(d.tables, stats, endpoints, d.log)
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
 	budget := retry.New()
@@ -160,6 +165,7 @@
 	defer cancel()
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
+	go d.poller.Run(ctx)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.callerListener) }()
 	go func() { failed <- d.operator.Serve(d.operatorListener) }()
--- a/internal/flow/runner/attempt.go
+++ b/internal/flow/runner/attempt.go
@@ -46,7 +46,7 @@
 	}
 	res.endpoint = lease.Endpoint.Name
 	start := time.Now()
-	q := s.call(ask.Attempt, s.stream.touch(start, lease.Load), lease)
+	q := s.call(ask.Attempt, s.stream.touch(ask.Attempt, lease.Endpoint.Name, lease.Load, start), lease)
 	res.answer, res.err = s.client.Do(ctx, lease.Endpoint.Address, q, func(t call.Token) error {
 		if res.first == 0 {
 			res.first = time.Since(start)
@@ -79,6 +79,7 @@
 		Prompt:   s.prompt,
 		From:     from,
 		Tokens:   tokensOf(s.job, s.stage),
+		Import:   s.handle,
 		Once:     s.stage.Once,
 		Check:    lease.Check,
 	}
--- a/internal/flow/runner/runner_test.go
+++ b/internal/flow/runner/runner_test.go
@@ -36,6 +36,7 @@
 	Attempt int    `json:"attempt"`
 	From    int    `json:"from"`
 	Tokens  int    `json:"tokens"`
+	Import  string `json:"import"`
 }
 
 // stub is an endpoint that generates tokens " 0", " 1", … and counts calls.
@@ -311,6 +312,35 @@
 	g.Eventually(s.deleted.Load).Should(Equal(int64(1)))
 }
 
+func TestStreamMovesOffAnEngineThatLeaves(t *testing.T) {
+	g := NewWithT(t)
+	var imported atomic.Value
+	leaving := newStub(t, func(w http.ResponseWriter, r *http.Request, c wireCall, _ int64) {
+		if r.URL.Path == "/v1/kv/export" {
+			fmt.Fprint(w, `{"handle":"kv-1"}`)
+			return
+		}
+		emit(w, c, 0)
+		emit(w, c, 1)
+		<-r.Context().Done()
+	})
+	staying := newStub(t, func(w http.ResponseWriter, r *http.Request, c wireCall, n int64) {
+		imported.Store(c.Import)
+		generate(w, r, c, n)
+	})
+	soon := time.Now().Add(2 * time.Second)
+	row := rig.Engine("l", leaving.address)
+	row.Weight, row.Leave = 100, &soon
+	r, j := fixture(t, "chat", row, rig.Engine("s", staying.address))
+	var c collector
+	out, err := r.Runner.Run(t.Context(), j, c.sink)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.Output).To(Equal(whole))
+	g.Expect(c.bad).To(BeZero())
+	g.Expect(leaving.calls.Load()).To(Equal(int64(2)), "the call and the export")
+	g.Expect(imported.Load()).To(Equal("kv-1"))
+}
+
 func TestFourStagesHandTheirResultsOn(t *testing.T) {
 	g := NewWithT(t)
 	pool, engine := newStub(t, answer), newStub(t, generate)
--- a/internal/flow/runner/stage.go
+++ b/internal/flow/runner/stage.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	mostAttempts = 4           // of one stage, retries and hedges included
-	mostStall    = time.Second // longest silence within a stream before it is hedged
+	mostAttempts = 4                      // of one stage, retries and hedges included
+	mostStall    = time.Second            // longest silence within a stream before it is hedged
+	moveAhead    = 10 * time.Second       // how long before its endpoint's leaving date a stream is moved
+	exportWait   = 300 * time.Millisecond // longest wait for the export of a KV cache
 )
 
 // stage is owned by the goroutine of its job. Its attempts run in goroutines
@@ -39,6 +41,8 @@
 	ran      bool  // an attempt may have run
 	last     error // of the last attempt that got an endpoint, or of the first that got none
 	results  chan result
+	moved    string // endpoint that the stream was moved off, or empty
+	handle   string // of the KV cache that the next attempt imports, or empty
 	record   job.Stage
 }
 
@@ -146,7 +150,7 @@
 		return false
 	case errors.As(res.err, &refusal):
 		return false
-	case res.safe:
+	case res.safe || s.moved != "" && res.endpoint == s.moved:
 		return true
 	case s.stage.Once:
 		return false
@@ -172,6 +176,7 @@
 // hedge starts a second attempt beside one that has given nothing for too
 // long, from the token reached, and returns when to look again.
 func (s *stage) hedge(ctx context.Context, now time.Time) time.Duration {
+	s.move(ctx, now)
 	delay := s.hedgeDelay()
 	if s.stream.reached() > 0 {
 		delay = mostStall
--- a/internal/flow/runner/stream.go
+++ b/internal/flow/runner/stream.go
@@ -21,18 +21,23 @@
 
 	mu       sync.Mutex
 	closed   bool
-	feeder   int // attempt that feeds, or 0
-	next     int // index of the token wanted next
+	feeder   int            // attempt that feeds, or 0
+	at       map[int]string // endpoint of each attempt that was sent
+	next     int            // index of the token wanted next
 	text     strings.Builder
 	progress time.Time // when a call was sent or a token came last; zero before
 	load     float64   // load of the role when a call was sent last
 }
 
-// touch records that an attempt was sent, at a load of the role, and returns
-// the token from which it has to go on.
-func (s *stream) touch(now time.Time, load float64) (from int) {
+// touch records that an attempt was sent to an endpoint, at a load of the role,
+// and returns the token from which it has to go on.
+func (s *stream) touch(attempt int, name string, load float64, now time.Time) (from int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.at == nil {
+		s.at = make(map[int]string)
+	}
+	s.at[attempt] = name
 	s.progress = now
 	s.load = load
 	return s.next
@@ -86,3 +91,10 @@
 	}
 	return now.Sub(s.progress), s.load
 }
+
+// source returns the attempt that feeds and its endpoint, or 0.
+func (s *stream) source() (attempt int, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.feeder, s.at[s.feeder]
+}
