--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newExperiment(), newLoad(), newStandin(), newTable())
+	c.AddCommand(
+		newDemo(),
+		newExperiment(),
+		newLoad(),
+		newMeasure(),
+		newStandin(),
+		newStatus(),
+		newTable(),
+		newVersion(),
+	)
 	return c
 }
