--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -17,6 +17,7 @@
 	}
 	c.AddCommand(
 		newDemo(),
+		newDrain(),
 		newExperiment(),
 		newLoad(),
 		newMeasure(),
