--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -19,6 +19,7 @@
 		newDemo(),
 		newDrain(),
 		newExperiment(),
+		newLoad(),
 		newMeasure(),
 		newStandin(),
 		newStatus(),
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/poller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/operator"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -46,6 +47,7 @@
 	source   *reader.Reader
 	feed     *feed.Feed
 	roster   *roster.Roster
+	poller   *poller.Poller
 	members  *membership.Membership
 	issuer   *issuer.Issuer
 	mesh     *mesh.Mesh
@@ -57,6 +59,7 @@
 	operator *http.Server
 	meter    *meter.Meter
 	flights  atomic.Int64
+	arrived  atomic.Int64 // when the last request of a caller came, in nanoseconds of the Unix epoch
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when Stop returns
 
@@ -102,6 +105,7 @@
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, scope)
 	budget := retry.New()
+	d.poller = poller.New(d.tables, stats, endpoints, d.log)
 	d.limits = d.newKeeper(self)
 	d.relay = relay.New(d.tables, dispatch, endpoints, budget, d.log, scope)
 	d.desk = d.newDesk(self)
@@ -152,6 +156,7 @@
 	defer cancel()
 	go d.roster.Run(ctx)
 	go d.feed.Run(ctx)
+	go d.poller.Run(ctx)
 	go d.limits.Run(ctx)
 	go d.followLeaving(ctx)
 	go d.issuer.Run(ctx)
