--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -90,27 +90,33 @@
 // that has had the least for its weight. Items whose Latest has passed are
 // left for Expire. It returns nil when no item can start.
 func (q *Queue[T]) Pop(now time.Time) *Item[T] {
+	return q.PopIf(now, func(T) bool { return true })
+}
+
+// PopIf is Pop among the items whose value passes can, such as those that a
+// freed endpoint could serve.
+func (q *Queue[T]) PopIf(now time.Time, can func(T) bool) *Item[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var best *lane[T]
+	var first *Item[T]
 	for _, l := range q.lanes {
-		if len(l.items) == 0 || !l.hasLive(now) {
+		if best != nil && !l.before(best) {
 			continue
 		}
-		if best == nil || l.before(best) {
-			best = l
+		if it := l.first(now, can); it != nil {
+			best, first = l, it
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	it := best.firstLive(now)
-	q.take(it)
+	q.take(first)
 	q.clock = best.pass
 	best.pass += 1 / best.weight
 	q.before = q.pace
 	q.pace.measure(now)
-	return it
+	return first
 }
 
 // Return puts back an item that Pop gave and that could not start after all,
@@ -224,18 +230,16 @@
 	return l.pass < o.pass || l.pass == o.pass && l.account < o.account
 }
 
-func (l *lane[T]) hasLive(now time.Time) bool { return l.firstLive(now) != nil }
-
-// firstLive returns the earliest item whose Latest has not passed.
-func (l *lane[T]) firstLive(now time.Time) *Item[T] {
+// first returns the earliest item by deadline that passes can and whose Latest has not passed.
+func (l *lane[T]) first(now time.Time, can func(T) bool) *Item[T] {
 	var first *Item[T]
-	if !l.items[0].Latest.Before(now) {
-		return l.items[0]
-	}
-	for _, it := range l.items {
-		if it.Latest.Before(now) {
+	for i, it := range l.items {
+		if it.Latest.Before(now) || !can(it.Value) {
 			continue
 		}
+		if i == 0 {
+			return it
+		}
 		if first == nil || it.Latest.Before(first.Latest) {
 			first = it
 		}
--- a/internal/admission/retry/retry.go
+++ b/internal/admission/retry/retry.go
@@ -14,7 +14,7 @@
 	most    = 50.0 // extra attempts that a quiet time can save up
 
 	// Overload is the utilisation of a role from which on no hedge is sent.
-	Overload = 0.75
+	Overload = 0.9
 
 	hedgeFactor = 4.0                   // times the usual deviation that a call waits before it is hedged
 	hedgeLeast  = 20 * time.Millisecond // least wait before a hedge
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -83,6 +83,9 @@
 
 	stats := board.New()
 	pick := picker.New(c.Centre, rule.Predicted{}, stats, self.Incarnation)
+	if c.Seat != nil {
+		pick.Seat(*c.Seat, 0)
+	}
 	dispatch := dispatcher.New(d.tables, pick, stats, c.Bounds.Queue, d.log, tally.NoopScope)
 	budget := retry.New()
 	d.limits = keeper.New(self.Seat)
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -71,9 +71,10 @@
 	return &Picker{centre: centre, rule: r, board: b, seed: seed, detectors: make(map[key]*outlier.Detector)}
 }
 
-// Seat sets which of the instances that share the limits of endpoints this one
-// is. Until then it uses each limit as if it were alone. A number outside 0 to
-// seats-1 has no share of any limit.
+// Seat sets which of the seats that share the limits of endpoints is this
+// instance's; seats of zero stands for the number in the table. Until then the
+// instance uses each limit as if it were alone. A number outside 0 to seats-1
+// has no share of any limit.
 func (p *Picker) Seat(number, seats int) { p.seat.Store(&seat{number, seats}) }
 
 // Allowed reports whether an endpoint may get new work: it has weight and is
