--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,14 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newDemo(), newExperiment(), newStandin(), newStatus(), newTable(), newVersion())
+	c.AddCommand(
+		newDemo(),
+		newExperiment(),
+		newMeasure(),
+		newStandin(),
+		newStatus(),
+		newTable(),
+		newVersion(),
+	)
 	return c
 }
