--- a/internal/bench/experiment/attempt.go
+++ b/internal/bench/experiment/attempt.go
@@ -31,6 +31,7 @@
 	entered  time.Time // when the stage was entered
 	over     bool
 	counted  bool // arrived after the warm-up
+	chat     bool
 	trace    []string
 }
 
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
 	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
+	"github.com/jacinthstile/jacinthstile/internal/routing/rule"
 )
 
 const (
@@ -148,6 +149,9 @@
 
 // held returns how many blocks of a request's prompt an endpoint is believed to hold.
 func (e *entry) held(r *request, name string) int {
+	if own, ok := e.bench.policy.Rule.(rule.Predicted); !ok || own.Blind {
+		return 0
+	}
 	var held [prefix.MostHeld]prefix.Held
 	n := e.board.Holders(r.blocks, &held)
 	for _, h := range held[:n] {
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Ablations returns our policy and what is left of it without one of its parts.
+func Ablations() []Policy {
+	return []Policy{
+		{Ours, rule.Predicted{}, true},
+		{"ours without locality", rule.Predicted{Blind: true}, true},
+		{"two choices with admission", rule.TwoChoices{}, true},
+	}
+}
+
 // Scenario is an offered load, as a multiple of the capacity, and a fault.
 type Scenario struct {
 	Load  float64
--- a/internal/bench/experiment/experiment_test.go
+++ b/internal/bench/experiment/experiment_test.go
@@ -72,3 +72,13 @@
 	beside := run(t, ours, experiment.Scenario{Load: 0.8, Fault: experiment.Hog})
 	g.Expect(beside.Others.Mean).To(BeNumerically(">=", alone.Others.Mean-mostHarm))
 }
+
+func TestPrefixLocalityCutsTheCostOfChats(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := experiment.Scenario{Load: 0.8}
+	blind := experiment.Policy{Name: "blind", Rule: rule.Predicted{Blind: true}, Admission: true}
+	with, without := run(t, ours, s), run(t, blind, s)
+	g.Expect(with.Chat.Mean).To(BeNumerically("<", without.Chat.Mean))
+	g.Expect(with.Attainment.Mean).To(BeNumerically(">=", without.Attainment.Mean))
+}
--- a/internal/bench/experiment/fault.go
+++ b/internal/bench/experiment/fault.go
@@ -2,7 +2,10 @@
 
 // This file defines Fault.
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Fault is what goes wrong during a run, from its faultAt on.
 type Fault int
@@ -53,3 +56,13 @@
 
 // MarshalText returns the name used in reports.
 func (f Fault) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText reads the name used in reports.
+func (f *Fault) UnmarshalText(text []byte) error {
+	i := slices.Index(faults[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("reading a fault: got %q, want one of %q", text, faults)
+	}
+	*f = Fault(i)
+	return nil
+}
--- a/internal/bench/experiment/markdown.go
+++ b/internal/bench/experiment/markdown.go
@@ -15,12 +15,19 @@
 		fmt.Fprintf(&b, "### %s: capacity %.0f requests/s\n", m.Deployment, m.Rate)
 		r.table(&b, m.Deployment, "Attainment in percent (mean, least to greatest of the seeds)", (*Cell).attainment)
 		r.table(&b, m.Deployment, "Cost for each answered request (mean, least to greatest)", (*Cell).cost)
+		r.table(&b, m.Deployment, "Cost of generation for each answered chat", (*Cell).chat)
 		r.table(&b, m.Deployment, "Goodput in requests/s; 99th percentile of latency", (*Cell).speed)
 		r.table(&b, m.Deployment, "Extra attempts, hedges among them, busy time wasted, prompt blocks cached, in percent", (*Cell).work)
 		r.table(&b, m.Deployment, "Share refused as not run, given up at the deadline, failed, in percent", (*Cell).lost)
+		r.compare(&b, m.Deployment)
 		r.fairness(&b, m.Deployment)
 		r.stages(&b, m.Deployment)
 	}
+	behind := r.Behind()
+	fmt.Fprintf(&b, "Cells of ours below the best other policy beyond the spread: %d\n", len(behind))
+	for _, c := range behind {
+		fmt.Fprintf(&b, "- %s, %s\n", c.Deployment, c.scenario())
+	}
 	return b.String()
 }
 
@@ -32,6 +39,10 @@
 	return fmt.Sprintf("%.3f (%.3f–%.3f)", c.Cost.Mean, c.Cost.Least, c.Cost.Most)
 }
 
+func (c *Cell) chat() string {
+	return fmt.Sprintf("%.3f (%.3f–%.3f)", c.Chat.Mean, c.Chat.Least, c.Chat.Most)
+}
+
 func (c *Cell) speed() string { return fmt.Sprintf("%.0f; %.2f s", c.Goodput.Mean, c.Most.Mean) }
 
 func (c *Cell) work() string {
--- a/internal/bench/experiment/tally.go
+++ b/internal/bench/experiment/tally.go
@@ -31,6 +31,7 @@
 	first    int // first attempts of a stage
 	extra    int // further attempts that reached an endpoint
 	hedges   int
+	chats    int // chats that were answered
 	notes    []string
 }
 
@@ -52,6 +53,9 @@
 	a[0]++
 	if o == answered {
 		a[1]++
+		if r.chat {
+			t.chats++
+		}
 		_ = t.latency.RecordValue(now.Sub(r.arrived).Milliseconds())
 		return
 	}
--- a/internal/bench/experiment/worker.go
+++ b/internal/bench/experiment/worker.go
@@ -36,6 +36,7 @@
 	waiting []*attempt
 	spent   time.Duration // busy time of calls of counted requests
 	wasted  time.Duration // the part of it that gave no answer
+	chats   time.Duration // the part of it that generated for chats
 	calls   int
 	slow    bool
 	dead    bool
@@ -168,6 +169,9 @@
 		a.busy = 0
 	}
 	w.spent += a.busy
+	if a.request.chat && w.cache != nil {
+		w.chats += a.busy
+	}
 	w.serve()
 }
 
--- a/internal/bench/experiment/workload.go
+++ b/internal/bench/experiment/workload.go
@@ -111,6 +111,7 @@
 	case w.random.Float64() < chatShare:
 		r.pipeline = w.chats[w.random.IntN(len(w.chats))]
 		r.blocks = w.chat()
+		r.chat = true
 	default:
 		r.pipeline = w.other()
 		template := uint64(len(r.pipeline.Name)) + uint64(r.pipeline.Name[0])<<8
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -109,6 +109,9 @@
 		return p.plain(g, q, 1, true)
 	case rule.Predicted:
 		g.judge(q.Now)
+		if r.Blind {
+			q.Blocks = nil
+		}
 		return p.predict(g, q)
 	default:
 		panic(fmt.Sprintf("picker: got rule %T, want one of package rule", r))
--- a/internal/routing/rule/rule.go
+++ b/internal/routing/rule/rule.go
@@ -21,7 +21,9 @@
 
 // Predicted chooses the least predicted time and cost, from measured service
 // times, age-corrected load reports, cached prefixes, distance and price.
-type Predicted struct{}
+type Predicted struct {
+	Blind bool // cached prefixes are ignored
+}
 
 var (
 	_ Rule = Random{}
