--- a/internal/endpoint/poller/poller.go
+++ b/internal/endpoint/poller/poller.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/routing/board"
 	"github.com/jacinthstile/jacinthstile/internal/table/endpoint"
@@ -77,7 +78,7 @@
 	for ctx.Err() == nil {
 		e := p.next(time.Now())
 		if e == nil {
-			pause(ctx, idlePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		size := overhead + p.poll(ctx, e)
@@ -86,7 +87,7 @@
 			return
 		}
 		if len(p.inUse) == 0 {
-			pause(ctx, otherPause)
+			pause.For(ctx, otherPause)
 		}
 	}
 }
@@ -203,12 +204,3 @@
 	}
 	return list
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 )
 
 const (
@@ -40,7 +42,7 @@
 	}
 	d.log.Info("stopping: idle", "forgotten", d.desk.Unused())
 	d.limits.Wait()
-	wait(ctx, flushWait)
+	pause.For(ctx, flushWait)
 	return ctx.Err()
 }
 
@@ -48,13 +50,13 @@
 // coming, since a balancer that still sends has not noticed.
 func (d *Daemon) waitUnnoticed(ctx context.Context, drain time.Duration) {
 	latest := time.Now().Add(mostDrains * drain)
-	wait(ctx, drain)
+	pause.For(ctx, drain)
 	for ctx.Err() == nil && time.Now().Before(latest) {
 		silent := time.Since(time.Unix(0, d.arrived.Load()))
 		if silent >= drain/2 {
 			return
 		}
-		wait(ctx, drain/2-silent)
+		pause.For(ctx, drain/2-silent)
 	}
 }
 
@@ -95,10 +97,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -7,13 +7,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/platform/instance"
 	"github.com/jacinthstile/jacinthstile/internal/platform/reader"
 )
@@ -80,7 +80,7 @@
 		v, changed, err := r.source.Watch(ctx, instance.Key, version, watchWait)
 		if err != nil {
 			r.log.V(1).Info("instance list not read", "error", err.Error())
-			pause(ctx, backoff(failures))
+			pause.For(ctx, backoff(failures))
 			failures++
 			continue
 		}
@@ -93,7 +93,7 @@
 		if err := r.use(v.Data); err != nil {
 			r.log.Error(err, "instance list refused, the last good one stays", "version", v.Version)
 		}
-		pause(ctx, jitter(watchGap))
+		pause.For(ctx, pause.Jitter(watchGap))
 	}
 }
 
@@ -124,19 +124,5 @@
 
 // backoff returns the pause after a number of failures in a row, jittered.
 func backoff(failures int) time.Duration {
-	return jitter(min(firstPause<<min(failures, 10), mostPause))
-}
-
-// jitter returns half of d to one and a half of it, evenly.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	return pause.Jitter(min(firstPause<<min(failures, 10), mostPause))
 }
--- a/internal/table/feed/feed.go
+++ b/internal/table/feed/feed.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/peer/membership"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
@@ -145,7 +146,7 @@
 		f.mu.Unlock()
 		if ok {
 			f.try(ctx, o)
-			pause(ctx, roundGap)
+			pause.For(ctx, roundGap)
 			continue
 		}
 		f.sleep(ctx, wait)
@@ -272,15 +273,3 @@
 	default:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-// jitter returns half of d to one and a half of it, evenly.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/table/feed/peers.go
+++ b/internal/table/feed/peers.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/peer/neighbour"
@@ -38,7 +39,7 @@
 func (f *Feed) gossip(ctx context.Context) {
 	f.greet(ctx)
 	for ctx.Err() == nil {
-		t := time.NewTimer(jitter(pulseEvery))
+		t := time.NewTimer(pause.Jitter(pulseEvery))
 		select {
 		case <-f.raised:
 			f.pulse(ctx, f.behind())
@@ -54,7 +55,7 @@
 func (f *Feed) greet(ctx context.Context) {
 	const look = 50 * time.Millisecond
 	for ctx.Err() == nil && time.Since(f.born) < f.start && !f.members.Known() {
-		pause(ctx, look)
+		pause.For(ctx, look)
 	}
 	f.pulse(ctx, f.chosen(greetings))
 	f.greeted.Store(true)
--- a/internal/table/feed/platform.go
+++ b/internal/table/feed/platform.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/peer/neighbour"
 	"github.com/jacinthstile/jacinthstile/internal/table/manifest"
 	"github.com/jacinthstile/jacinthstile/internal/table/revision"
@@ -39,11 +40,11 @@
 	var version uint64
 	failures := 0
 	for ctx.Err() == nil {
-		v, changed, err := f.source.Watch(ctx, manifest.Key, version, jitter(watchWait))
+		v, changed, err := f.source.Watch(ctx, manifest.Key, version, pause.Jitter(watchWait))
 		f.failing.Store(err != nil)
 		if err != nil {
 			f.log.V(1).Info("table watch failed", "error", err.Error())
-			pause(ctx, jitter(min(firstPause<<min(failures, 10), mostPause)))
+			pause.For(ctx, pause.Jitter(min(firstPause<<min(failures, 10), mostPause)))
 			failures++
 			continue
 		}
@@ -57,7 +58,7 @@
 		version = v.Version
 		f.stats.platformBytes.Add(int64(len(v.Data)))
 		f.offerFromPlatform(v.Data)
-		pause(ctx, jitter(watchGap))
+		pause.For(ctx, pause.Jitter(watchGap))
 	}
 }
 
@@ -91,7 +92,7 @@
 func (f *Feed) delay(at revision.Revision) time.Duration {
 	rank, known := f.rank(at)
 	if !known {
-		return jitter(mostDelay / 4)
+		return pause.Jitter(mostDelay / 4)
 	}
 	if f.tables.Current() == nil {
 		return min(time.Duration(rank)*coldDelay, mostCold)
--- a/internal/ticket/desk/forward.go
+++ b/internal/ticket/desk/forward.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/flow/relay"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
@@ -53,7 +54,7 @@
 		sent = sent || !errors.As(err, &unreachable)
 		d.log.Info("ticket not forwarded", "request", o.Call.Request, "issuer", t.Issuer,
 			"ask", ask, "sent", sent, "error", err.Error())
-		pause(ctx, askPause)
+		pause.For(ctx, askPause)
 	}
 	switch {
 	case !sent:
@@ -82,13 +83,6 @@
 	return client.Reply{Status: int(out.Status), Type: out.Type, Body: out.Body}, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Answer handles kind.TicketRun: it runs a call under a ticket of this desk.
 func (d *Desk) Answer(ctx context.Context, from identity.Identity, body []byte) ([]byte, error) {
 	var q ticketpb.Run
