Serve plain requests and streams on the platform

A second way to run the daemon, jacinthstiled -platform: the folder platform/ reads the platform's settings and store, and the new packages under internal/edge proxy whole requests through the dispatcher, picker and board that the pipelines use. Stages are not made yet: their requests fail.

--- a/cmd/jacinthstiled/main.go
+++ b/cmd/jacinthstiled/main.go
@@ -17,16 +17,23 @@
 	"github.com/jacinthstile/jacinthstile/internal/command/logger"
 	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/platform"
 )
 
 const stopTimeout = 10 * time.Minute
 
 func main() {
 	path := flag.String("settings", "", "settings file (JSON)")
+	onPlatform := flag.Bool("platform", false, "run on the users' platform, with the settings file that it names")
+	level := flag.String("log", "info", "log level on the platform: debug, info or error")
 	check := flag.Bool("check", false, "validate the settings and exit")
 	trace := flag.Bool("trace", false, "print where an error came from")
 	flag.Parse()
-	if err := run(*path, *check); err != nil {
+	start := func() error { return run(*path, *check) }
+	if *onPlatform {
+		start = func() error { return runOnPlatform(*level, *check) }
+	}
+	if err := start(); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthstiled:", eris.ToString(err, *trace))
 		os.Exit(1)
 	}
@@ -59,3 +66,24 @@
 	defer cancel()
 	return eris.Wrap(d.Stop(ctx), "stopping")
 }
+
+func runOnPlatform(level string, check bool) error {
+	s, err := platform.Load()
+	if err != nil {
+		return eris.Wrap(err, "loading settings")
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	signals, stopSignals := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stopSignals()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	p, cleanUp, err := platform.New(s, logger.New(os.Stdout, level))
+	if err != nil {
+		return eris.Wrap(err, "starting")
+	}
+	defer cleanUp()
+	return eris.Wrap(p.Run(signals, reload), "serving")
+}
--- a/internal/flow/dispatcher/lease.go
+++ b/internal/flow/dispatcher/lease.go
@@ -57,3 +57,8 @@
 	}
 	return fmt.Sprintf("no endpoint: %s; again after %v", r.Reason, r.After)
 }
+
+// Report records the load that the endpoint of a lease reported of itself.
+func (d *Dispatcher) Report(l *Lease, load board.Load) {
+	d.board.Report(l.Endpoint.Name, load, time.Now())
+}
