Gather stage work on one instance and choose engines there

A queue that binds pieces late and fills calls by the time that requests have to spare (stage/queue), driven by stage/foreman; which instance gathers is found by stage/election, orders reach it over the peer mesh by stage/desk, and routing/prompt chooses the engine by what of a prompt it has to read.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -37,18 +38,20 @@
 
 // Stager makes what a call needs before it can run.
 type Stager interface {
-	// Prepare returns the inputs of a call. The error is a *fault.Fault of
-	// class "not run", or the context's error.
-	Prepare(ctx context.Context, c *call.Call) (Prepared, error)
+	// Prepare returns the inputs of a call and the endpoint to run it on, given
+	// the names of those that failed it. The error is a *fault.Fault of class
+	// "not run", or the context's error.
+	Prepare(ctx context.Context, c *call.Call, tried []string) (Prepared, error)
 }
 
 // Prepared is what a Stager made for a call.
 type Prepared struct {
 	Inputs []string // handles of results
 	Prefer string   // name of the endpoint to run on; empty for any
-	// Release tells that the inputs are not needed any more. It may be called
-	// more than once.
-	Release func()
+	// Started tells that the endpoint has read the inputs.
+	Started func()
+	// Ended tells that the call has left its endpoint.
+	Ended func()
 	// Lost tells that inputs no longer exist, and makes them again.
 	Lost func(ctx context.Context) (Prepared, error)
 }
@@ -110,13 +113,13 @@
 }
 
 func (f *flight) fly(ctx context.Context) error {
-	if f.call.Staged() {
-		ready, err := f.stager.Prepare(ctx, f.call)
+	if f.isStream() {
+		ready, err := f.stager.Prepare(ctx, f.call, nil)
 		if err != nil {
 			return err
 		}
 		f.ready = ready
-		defer func() { f.ready.release() }()
+		defer func() { f.ready.Ended() }()
 	}
 	f.allowance.First(f.call.Service, time.Now())
 	for {
@@ -154,11 +157,17 @@
 	if now := time.Now(); latest.Before(now) {
 		latest = now.Add(time.Until(f.call.Deadline) / 4)
 	}
-	return f.dispatch.Acquire(ctx, dispatcher.Ask{
+	ask := dispatcher.Ask{
 		Request: f.call.ID, Account: f.call.Account, Stage: f.call.Service, Attempt: f.sends,
 		Query:  picker.Query{Role: f.call.Service, Blocks: f.blocks(), Tried: f.tried, Again: true},
 		Latest: latest,
-	})
+	}
+	if f.ready.Prefer != "" && !slices.Contains(f.tried, f.ready.Prefer) {
+		if lease := f.dispatch.Take(ask, f.ready.Prefer); lease != nil {
+			return lease, nil
+		}
+	}
+	return f.dispatch.Acquire(ctx, ask)
 }
 
 // unplaced turns a refusal of the dispatcher into the call's fault.
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -33,7 +33,6 @@
 	start := time.Now()
 	first, err := f.events(a, start)
 	if err == nil {
-		f.ready.release()
 		lease.Done(board.Result{First: first, Tokens: f.stream.events, Blocks: f.blocks()})
 		return false, nil
 	}
@@ -65,6 +64,7 @@
 		if end := bytes.LastIndex(buf, []byte("\n\n")); end >= 0 {
 			if first == 0 {
 				first = max(1, time.Since(start))
+				f.ready.Started() // inputs are read before the first event is made
 			}
 			if err := f.pass(a, buf[:end+2]); err != nil {
 				return first, err
@@ -170,11 +170,3 @@
 	}
 	return blocks
 }
-
-// release is Release where there is one.
-func (r Prepared) release() {
-	if r.Release != nil {
-		r.Release()
-	}
-}
-
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -90,13 +90,28 @@
 	default:
 		return nil, false, &Refusal{Reason: choice.Reason.String()}
 	}
+	return d.lease(a, table, choice), false, nil
+}
+
+// Take returns a lease on the endpoint of a name that was chosen elsewhere, or
+// nil where it may get no new work.
+func (d *Dispatcher) Take(a Ask, name string) *Lease {
+	table := d.tables.Current()
+	if !picker.Allowed(table, d.board, name) {
+		return nil
+	}
+	a.Query.Now = time.Now()
+	return d.lease(a, table, picker.Choice{Endpoint: table.Endpoint(name), Reason: picker.Reason{Ground: picker.Ordered}})
+}
+
+func (d *Dispatcher) lease(a Ask, table *sheet.Sheet, choice picker.Choice) *Lease {
 	d.board.Start(choice.Endpoint.Name, a.Query.Now)
 	if d.log.Enabled() {
 		d.log.Info("routing", "request", a.Request, "account", a.Account, "stage", a.Stage,
 			"attempt", a.Attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
 			"epoch", table.Epoch, "version", table.Version)
 	}
-	return &Lease{Endpoint: choice.Endpoint, Load: choice.Load, start: a.Query.Now, dispatcher: d}, false, nil
+	return &Lease{Endpoint: choice.Endpoint, Load: choice.Load, start: a.Query.Now, dispatcher: d}
 }
 
 func weightOf(s *sheet.Sheet, account string) float64 {
--- a/internal/peer/kind/kind.go
+++ b/internal/peer/kind/kind.go
@@ -23,6 +23,14 @@
 	LimitGive
 	// Status asks for the state of an instance, for operators.
 	Status
+	// StageRoll exchanges which instances could gather stage work.
+	StageRoll
+	// StageOrder asks the gathering instance for what a request needs.
+	StageOrder
+	// StageRemake asks for the results of an order once more.
+	StageRemake
+	// StageNews tells the gathering instance how requests went on.
+	StageNews
 )
 
 var names = [...]string{
@@ -33,6 +41,11 @@
 	LimitTake: "limit-take",
 	LimitGive: "limit-give",
 	Status:    "status",
+
+	StageRoll:   "stage-roll",
+	StageOrder:  "stage-order",
+	StageRemake: "stage-remake",
+	StageNews:   "stage-news",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/routing/picker/reason.go
+++ b/internal/routing/picker/reason.go
@@ -27,6 +27,8 @@
 	NoShare
 	// Ejected means that only ejected endpoints were left.
 	Ejected
+	// Ordered means that the instance that gathers chose.
+	Ordered
 )
 
 var grounds = [...]string{
@@ -38,11 +40,12 @@
 	Predicted: "least predicted",
 	NoShare:   "no share of any limit",
 	Ejected:   "only ejected endpoints left",
+	Ordered:   "chosen by the gathering instance",
 }
 
 // String returns the text used in logs.
 func (g Ground) String() string {
-	if g < Unknown || g > Ejected {
+	if g < Unknown || g > Ordered {
 		return fmt.Sprintf("ground(%d)", int(g))
 	}
 	return grounds[g]
--- /dev/null
+++ b/internal/stage/desk/follow.go
@@ -0,0 +1,93 @@
+package desk
+
+// This file finds out which instance gathers.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/stage/election"
+	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
+)
+
+const (
+	askEvery = 300 * time.Millisecond // between two questions to the candidates
+	askLimit = 400 * time.Millisecond // of one question
+)
+
+// Run asks the candidates until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	go d.local.Run(ctx)
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		d.election.SetFit(d.fit())
+		d.askAll(ctx)
+		d.follow(time.Now())
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Desk) askAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, address := range d.election.Ask(time.Now()) {
+		all.Go(func() {
+			roll := new(stagepb.Roll)
+			if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
+				d.election.Failed(address)
+				return
+			}
+			now := time.Now()
+			d.election.Answered(address, decodeRoll(roll, now), now)
+		})
+	}
+	all.Wait()
+}
+
+// follow notes a change of the instance that gathers, and gives up what was
+// asked of one that fell silent.
+func (d *Desk) follow(now time.Time) {
+	leader := d.election.Leader(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if leader != d.leader {
+		d.log.Info("following another gathering instance", "leader", leader, "before", d.leader)
+		d.leader = leader
+	}
+	for address, r := range d.remotes {
+		if d.election.Silent(address, now) {
+			r.lose()
+			delete(d.remotes, address)
+		}
+	}
+}
+
+// roll is what this instance tells others.
+func (d *Desk) roll(now time.Time) *stagepb.Roll {
+	roll := new(stagepb.Roll)
+	for _, c := range d.election.Tell(now) {
+		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
+			Address: c.Address, Power: uint32(c.Power), AgeMs: uint32(now.Sub(c.Heard).Milliseconds()), Fit: c.Fit,
+		})
+	}
+	return roll
+}
+
+func decodeRoll(roll *stagepb.Roll, now time.Time) []election.Candidate {
+	list := make([]election.Candidate, 0, len(roll.Candidates))
+	for _, c := range roll.Candidates {
+		list = append(list, election.Candidate{
+			Address: c.Address, Power: int(c.Power), Fit: c.Fit,
+			Heard: now.Add(-bounded(time.Duration(c.AgeMs) * time.Millisecond)),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/stage/election/election.go
@@ -0,0 +1,195 @@
+// Package election decides which instance gathers the stage work of all. It
+// answers stage calls that cost the same whether they hold one piece or many:
+// one queue for all instances fills them, many small queues do not.
+//
+// Nothing is agreed on. Each instance follows the best candidate that it
+// reaches itself, all by the same order, so that they mostly follow the same
+// one. Where two gather at once, or none for a second, calls are less full and
+// some pieces are made twice. An Election has no clock and does no input or
+// output.
+package election
+
+// This file defines Election and Candidate.
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Silence is the time without an answer after which a candidate is not followed.
+	Silence = 900 * time.Millisecond
+	// stale is the time without any news after which a candidate is forgotten.
+	stale = 5 * time.Second
+	// Most is how many candidates instances tell each other of.
+	Most = 4
+)
+
+// Candidate is an instance that could gather.
+type Candidate struct {
+	Address string
+	Power   int       // thousandths of a core
+	Fit     bool      // whether it says that it can gather
+	Heard   time.Time // when anybody last heard it
+}
+
+type record struct {
+	Candidate
+	answered time.Time // when it last answered this instance; zero for never
+	failed   bool      // whether the last question to it failed
+}
+
+// Election is what one instance knows of the candidates. It is safe for
+// concurrent use.
+type Election struct {
+	self  Candidate
+	seeds []string
+
+	mu    sync.Mutex
+	known map[string]*record
+	fit   bool
+}
+
+// New returns an election for an instance that knows the addresses of some others.
+func New(self Candidate, seeds []string) *Election {
+	return &Election{self: self, seeds: seeds, known: make(map[string]*record)}
+}
+
+// SetFit sets whether this instance can gather for others.
+func (e *Election) SetFit(fit bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fit = fit
+}
+
+// Answered records what a candidate said of itself and of others.
+func (e *Election) Answered(address string, list []Candidate, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.learn(list)
+	if r := e.known[address]; r != nil {
+		r.answered, r.failed = now, false
+	}
+}
+
+// Heard records what an instance said that asked this one.
+func (e *Election) Heard(list []Candidate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.learn(list)
+}
+
+func (e *Election) learn(list []Candidate) {
+	for _, c := range list {
+		if c.Address == e.self.Address || c.Address == "" {
+			continue
+		}
+		r := e.known[c.Address]
+		if r == nil {
+			r = new(record)
+			e.known[c.Address] = r
+		}
+		if c.Heard.After(r.Heard) {
+			r.Candidate = c
+		}
+	}
+}
+
+// Failed records that a candidate did not answer.
+func (e *Election) Failed(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.known[address]; r != nil {
+		r.failed = true
+	}
+}
+
+// Leader returns the address of the instance to follow, which may be this one.
+func (e *Election) Leader(now time.Time) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	best, found := e.self, e.fit
+	for _, r := range e.known {
+		if !r.Fit || r.failed || now.Sub(r.answered) > Silence {
+			continue
+		}
+		if !found || before(r.Candidate, best) {
+			best, found = r.Candidate, true
+		}
+	}
+	return best.Address
+}
+
+// Silent reports whether a candidate has not answered for so long that what
+// was asked of it is given up.
+func (e *Election) Silent(address string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.known[address]
+	return r == nil || now.Sub(r.answered) > Silence
+}
+
+// Ask returns the addresses to ask next: the best candidates that may still
+// live, and the seeds that are not known yet.
+func (e *Election) Ask(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var asked []string
+	for _, c := range e.best(now) {
+		if c.Address != e.self.Address && len(asked) < Most-1 {
+			asked = append(asked, c.Address)
+		}
+	}
+	for _, s := range e.seeds {
+		if s != e.self.Address && !slices.Contains(asked, s) {
+			asked = append(asked, s)
+		}
+	}
+	return asked
+}
+
+// Tell returns what to tell others: this instance and the best candidates.
+func (e *Election) Tell(now time.Time) []Candidate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self := e.self
+	self.Fit, self.Heard = e.fit, now
+	list := []Candidate{self}
+	for _, c := range e.best(now) {
+		if len(list) < Most {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// best returns the fit candidates that were heard lately, in order.
+func (e *Election) best(now time.Time) []Candidate {
+	var list []Candidate
+	for address, r := range e.known {
+		if now.Sub(r.Heard) > stale {
+			delete(e.known, address)
+			continue
+		}
+		if r.Fit {
+			list = append(list, r.Candidate)
+		}
+	}
+	slices.SortFunc(list, func(a, b Candidate) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// before is the order in which all instances follow candidates: those with the
+// most processor first.
+func before(a, b Candidate) bool {
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address))) < 0
+}
--- /dev/null
+++ b/internal/stage/foreman/call.go
@@ -0,0 +1,200 @@
+package foreman
+
+// This file sends calls to endpoints and takes their outcomes.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+	"github.com/jacinthstile/jacinthstile/internal/stage/maker"
+	"github.com/jacinthstile/jacinthstile/internal/stage/queue"
+)
+
+const (
+	overdueTimes  = 2.0                    // times the expected duration after which pieces go to another endpoint as well
+	overdueMargin = 150 * time.Millisecond // beyond that
+	callLimit     = 8 * time.Second        // of one call
+)
+
+// running is one call under way.
+type running struct {
+	worker   *worker
+	endpoint *fleet.Endpoint
+	pieces   []queue.Piece
+	start    time.Time
+	expected time.Duration // at the usual speed
+	bytes    int64
+	again    bool // whether its pieces were queued once more
+}
+
+// dispatch gives work to all endpoints that are free.
+func (f *Foreman) dispatch(now time.Time) {
+	c := f.catalog()
+	if c == nil {
+		return
+	}
+	for name, s := range c.Services {
+		if s.Batch == nil || f.queue.Waiting(name) == 0 {
+			continue
+		}
+		f.refreshService(c, name)
+		for _, e := range f.free(name, s.Batch, now) {
+			if f.queue.Waiting(name) == 0 {
+				break
+			}
+			f.give(e, s.Batch, now)
+		}
+	}
+}
+
+// free returns the endpoints that can take a call, the fastest first.
+func (f *Foreman) free(service string, b *catalog.Batch, now time.Time) []*fleet.Endpoint {
+	var list []*fleet.Endpoint
+	for _, e := range f.fleet().Of(service) {
+		if w := f.worker(e); w.calls < b.Calls && !w.out(now) {
+			list = append(list, e)
+		}
+	}
+	f.sortBySpeed(list, now)
+	return list
+}
+
+// give sends the next call to an endpoint.
+func (f *Foreman) give(e *fleet.Endpoint, b *catalog.Batch, now time.Time) {
+	w := f.worker(e)
+	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Room: w.room(b, now), Slow: w.factor(now)}, now)
+	if len(pieces) == 0 {
+		return
+	}
+	r := &running{
+		worker: w, endpoint: e, pieces: pieces, start: now,
+		expected: b.Call + time.Duration(len(pieces))*b.Item,
+	}
+	items := make([]maker.Item, len(pieces))
+	for i, p := range pieces {
+		items[i] = item(p, now)
+		r.bytes += p.Job.Stages[p.Stage].Bytes
+	}
+	w.calls++
+	w.held += r.bytes
+	f.running[r] = struct{}{}
+	go f.call(r, items)
+}
+
+func item(p queue.Piece, now time.Time) maker.Item {
+	it := maker.Item{ID: p.Job.ID, Stage: p.Stage, Piece: p.Index, Left: p.Job.Deadline.Sub(now)}
+	if len(p.Job.Stages[p.Stage].After) == 0 {
+		it.Key = p.Job.Key
+		return it
+	}
+	it.Inputs = p.Job.Inputs(p.Stage)
+	return it
+}
+
+func (f *Foreman) call(r *running, items []maker.Item) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	outcomes, err := f.maker.Make(ctx, r.endpoint, items)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, r)
+	r.worker.calls--
+	if err != nil {
+		f.failed(r, err, now)
+	} else {
+		r.worker.ended(now.Sub(r.start), r.expected, now)
+		for i, p := range r.pieces {
+			f.outcome(r, p, outcomes[i], now)
+		}
+	}
+	f.dispatch(now)
+}
+
+// failed handles a call without an answer. Pieces may be made twice, so all of
+// them are queued again.
+func (f *Foreman) failed(r *running, err error, now time.Time) {
+	r.worker.held -= r.bytes
+	var bad *failure.Failure
+	refused := errors.As(err, &bad) && bad.Kind == failure.Refused
+	r.worker.failed(refused, now)
+	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "after", now.Sub(r.start).String(),
+		"reason", err.Error())
+	for _, p := range r.pieces {
+		f.queue.Again(p)
+	}
+}
+
+// outcome handles the answer for one piece.
+func (f *Foreman) outcome(r *running, p queue.Piece, o maker.Outcome, now time.Time) {
+	size := p.Job.Stages[p.Stage].Bytes
+	e := f.jobs[p.Job.ID]
+	if o.Reason == maker.Made {
+		f.made(r, e, p, job.Result{Handle: o.Handle, Maker: r.endpoint.Name(), Bytes: size})
+		return
+	}
+	r.worker.held -= size
+	if e == nil || e.job != p.Job || p.Job.Ended {
+		return
+	}
+	f.log.V(1).Info("piece not made", "request", p.Job.ID, "stage", p.Stage, "piece", p.Index, "endpoint", r.endpoint.ID,
+		"reason", o.Reason.String())
+	if e.faults++; e.faults > mostFaults || o.Reason == maker.Late && !now.Before(p.Job.Deadline) {
+		f.giveUp(e, fault.New(code.NoTime, "a piece of stage %d was not made: %s", p.Stage, o.Reason))
+		return
+	}
+	switch o.Reason {
+	case maker.Gone:
+		f.restart(e)
+	case maker.Room:
+		r.worker.full(now)
+		f.queue.Again(p)
+	case maker.Late, maker.Fault:
+		f.queue.Again(p)
+	default:
+		panic("foreman: got reason " + o.Reason.String())
+	}
+}
+
+func (f *Foreman) made(r *running, e *entry, p queue.Piece, result job.Result) {
+	wanted, finished := f.queue.Made(p, result)
+	if !wanted {
+		f.discard(result)
+		return
+	}
+	f.freeTaken(e)
+	if finished {
+		e.expires = time.Now().Add(max(f.keep(r.endpoint.Service), freeLimit))
+		e.done <- nil
+	}
+}
+
+// keep is how long endpoints of a service hold results.
+func (f *Foreman) keep(service string) time.Duration {
+	if s := f.catalog().Services[service]; s != nil && s.Batch != nil {
+		return s.Batch.Keep
+	}
+	return 0
+}
+
+// overdue queues the pieces of a call once more that takes far longer than it should.
+func (f *Foreman) overdue(r *running, now time.Time) {
+	took := now.Sub(r.start)
+	if r.again || took < time.Duration(overdueTimes*float64(r.expected))+overdueMargin {
+		return
+	}
+	r.again = true
+	r.worker.ended(took, r.expected, now)
+	f.log.Info("stage call overdue", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "after", took.String(),
+		"expected", r.expected.String())
+	for _, p := range r.pieces {
+		f.queue.Again(p)
+	}
+}
--- /dev/null
+++ b/internal/stage/foreman/foreman.go
@@ -0,0 +1,251 @@
+// Package foreman gathers the stage work of many requests into full calls. It
+// drives a queue.Queue: whenever an endpoint is free, the pieces that the queue
+// chooses go to it in one call.
+package foreman
+
+// This file defines Foreman and the way of one job.
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+	"github.com/jacinthstile/jacinthstile/internal/stage/maker"
+	"github.com/jacinthstile/jacinthstile/internal/stage/queue"
+)
+
+const (
+	tickEvery  = 50 * time.Millisecond // between two looks at late calls and expired jobs
+	freeEvery  = 30 * time.Millisecond // that handles are gathered before an endpoint is told to free them
+	freeLimit  = 2 * time.Second       // of a call that frees results
+	mostFaults = 8                     // pieces of one job that may fail before it is given up
+	mostJobs   = 4096
+)
+
+// Foreman is safe for concurrent use.
+type Foreman struct {
+	catalog func() *catalog.Catalog
+	fleet   func() *fleet.Index
+	maker   maker.Maker
+	log     logr.Logger
+
+	mu      sync.Mutex
+	queue   *queue.Queue
+	jobs    map[string]*entry
+	workers map[string]*worker // by name of the endpoint
+	running map[*running]struct{}
+}
+
+// entry is one job with who waits for it.
+type entry struct {
+	job     *job.Job
+	done    chan error // holds one element
+	faults  int
+	freed   []bool // stages whose results were given up
+	expires time.Time
+}
+
+var errEnded = errors.New("the job was ended")
+
+// New returns a foreman without work.
+func New(c func() *catalog.Catalog, f func() *fleet.Index, m maker.Maker, log logr.Logger) *Foreman {
+	return &Foreman{
+		catalog: c, fleet: f, maker: m, log: log, queue: queue.New(),
+		jobs: make(map[string]*entry), workers: make(map[string]*worker), running: make(map[*running]struct{}),
+	}
+}
+
+// Prepare makes the pieces of a job and returns the results that its request
+// takes. Release must follow. The error is a *fault.Fault where the job was
+// refused or given up, and the context's where that ended.
+func (f *Foreman) Prepare(ctx context.Context, j *job.Job) ([]job.Result, error) {
+	e, err := f.submit(j)
+	if err != nil {
+		return nil, err
+	}
+	return f.await(ctx, e)
+}
+
+func (f *Foreman) await(ctx context.Context, e *entry) ([]job.Result, error) {
+	select {
+	case err := <-e.done:
+		if err != nil {
+			return nil, err
+		}
+		return e.job.Outputs(), nil
+	case <-ctx.Done():
+		f.Release(e.job.ID)
+		return nil, ctx.Err()
+	}
+}
+
+func (f *Foreman) submit(j *job.Job) (*entry, error) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.jobs[j.ID] != nil || len(f.jobs) >= mostJobs {
+		return nil, fault.New(code.Overloaded, "%d jobs are under way", len(f.jobs))
+	}
+	f.refresh(j)
+	v := f.queue.Judge(j, now)
+	f.log.V(1).Info("job judged", "request", j.ID, "take", v.Take, "ground", v.Ground.String(), "takes", v.Takes.String(),
+		"wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
+	if !v.Take {
+		bad := fault.New(refusal(v.Ground), "stages: %s, they would take %s of %s", v.Ground, v.Takes, j.Goal.Sub(now))
+		bad.After = v.After
+		return nil, bad
+	}
+	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline}
+	f.jobs[j.ID] = e
+	f.queue.Add(j)
+	f.dispatch(now)
+	return e, nil
+}
+
+func refusal(g queue.Ground) code.Code {
+	if g == queue.NoWorker {
+		return code.NoEndpoint
+	}
+	return code.Overloaded
+}
+
+// refresh tells the queue how many endpoints the services of a job have.
+func (f *Foreman) refresh(j *job.Job) {
+	c := f.catalog()
+	for _, s := range j.Stages {
+		f.refreshService(c, s.Service)
+	}
+}
+
+func (f *Foreman) refreshService(c *catalog.Catalog, name string) *catalog.Batch {
+	s := c.Services[name]
+	if s == nil || s.Batch == nil {
+		return nil
+	}
+	usable := 0
+	now := time.Now()
+	for _, e := range f.fleet().Of(name) {
+		if !f.worker(e).out(now) {
+			usable += s.Batch.Calls
+		}
+	}
+	f.queue.Service(name, *s.Batch, usable)
+	return s.Batch
+}
+
+// Remake makes a finished job's results again, some of which no longer exist.
+func (f *Foreman) Remake(ctx context.Context, id string) ([]job.Result, error) {
+	f.mu.Lock()
+	e := f.jobs[id]
+	if e == nil {
+		f.mu.Unlock()
+		return nil, fault.New(code.NoTime, "the results are gone and their job is not known any more")
+	}
+	f.restart(e)
+	f.dispatch(time.Now())
+	f.mu.Unlock()
+	return f.await(ctx, e)
+}
+
+// restart makes all results of a job again, since those that later stages
+// took have been freed.
+func (f *Foreman) restart(e *entry) {
+	f.freeAll(e)
+	clear(e.freed)
+	f.queue.Lost(e.job, func(job.Result) bool { return true })
+}
+
+// Release tells that a job's results are not needed any more. It may be called
+// for jobs that are unknown.
+func (f *Foreman) Release(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.jobs[id]; e != nil {
+		f.end(e)
+	}
+}
+
+// end forgets a job and frees its results.
+func (f *Foreman) end(e *entry) {
+	f.queue.Remove(e.job)
+	f.freeAll(e)
+	delete(f.jobs, e.job.ID)
+	select {
+	case e.done <- errEnded: // for one that still waits
+	default:
+	}
+}
+
+// giveUp ends a job that cannot be done.
+func (f *Foreman) giveUp(e *entry, bad *fault.Fault) {
+	f.log.V(1).Info("job given up", "request", e.job.ID, "reason", bad.Error())
+	e.done <- bad
+	f.end(e)
+}
+
+// Fit reports whether this instance reaches the endpoints that make pieces:
+// fewer than half of them rest after failures.
+func (f *Foreman) Fit() bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := 0
+	for _, w := range f.workers {
+		if w.failures > 1 && w.out(now) {
+			failed++
+		}
+	}
+	return 2*failed <= len(f.workers)
+}
+
+// Jobs returns how many jobs are under way.
+func (f *Foreman) Jobs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.jobs)
+}
+
+// Run looks after late calls and expired jobs until the context ends.
+func (f *Foreman) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			f.tick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Foreman) tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.jobs) == 0 {
+		return
+	}
+	for _, j := range f.queue.Expired(now) {
+		if e := f.jobs[j.ID]; e != nil {
+			f.giveUp(e, fault.New(code.NoTime, "the stages were not done in time"))
+		}
+	}
+	for _, e := range f.jobs {
+		if now.After(e.expires.Add(freeLimit)) {
+			f.end(e)
+		}
+	}
+	for r := range f.running {
+		f.overdue(r, now)
+	}
+	f.forget()
+	f.dispatch(now)
+}
--- /dev/null
+++ b/internal/stage/foreman/worker.go
@@ -0,0 +1,95 @@
+package foreman
+
+// This file defines worker, what is known of one endpoint that makes pieces.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+)
+
+const (
+	slowGain   = 0.5                    // weight of a call in the moving mean of the speed
+	slowHalf   = 3 * time.Second        // in which half of a slowness is forgotten
+	refusedOut = 60 * time.Millisecond  // that an endpoint rests which is full
+	failedOut  = 300 * time.Millisecond // that an endpoint rests after a failed call, doubled with each one more
+	mostOut    = 3 * time.Second
+	roomOut    = 100 * time.Millisecond // that an endpoint rests which has no room for results
+)
+
+type worker struct {
+	calls    int     // under way
+	held     int64   // bytes of results, those being made included
+	slow     float64 // times as long as usual that calls took, 1 or more
+	slowAt   time.Time
+	failures int
+	until    time.Time // that it gets no calls
+	free     []string  // handles to be freed with the next call
+	freeing  bool
+}
+
+// forget drops what is known of endpoints that are gone.
+func (f *Foreman) forget() {
+	index := f.fleet()
+	for name, w := range f.workers {
+		if w.calls == 0 && index.Named(name) == nil {
+			delete(f.workers, name)
+		}
+	}
+}
+
+func (f *Foreman) worker(e *fleet.Endpoint) *worker {
+	name := e.Name()
+	w := f.workers[name]
+	if w == nil {
+		w = &worker{slow: 1}
+		f.workers[name] = w
+	}
+	return w
+}
+
+// out reports whether the endpoint rests.
+func (w *worker) out(now time.Time) bool { return now.Before(w.until) }
+
+// room returns the bytes of results that fit.
+func (w *worker) room(b *catalog.Batch, _ time.Time) int64 {
+	if w.calls == 0 && len(w.free) == 0 && w.held < 0 {
+		w.held = 0
+	}
+	return b.Room - w.held
+}
+
+// factor is how many times as long as usual the next call should take.
+func (w *worker) factor(now time.Time) float64 {
+	forgotten := math.Exp2(-now.Sub(w.slowAt).Seconds() / slowHalf.Seconds())
+	return 1 + (w.slow-1)*forgotten
+}
+
+func (w *worker) ended(took, expected time.Duration, now time.Time) {
+	w.failures = 0
+	seen := max(1, float64(took)/float64(expected))
+	w.slow = max(1, w.factor(now)+slowGain*(seen-w.factor(now)))
+	w.slowAt = now
+}
+
+func (w *worker) failed(refused bool, now time.Time) {
+	if refused {
+		w.until = now.Add(refusedOut)
+		return
+	}
+	w.until = now.Add(min(mostOut, failedOut<<min(w.failures, 4)))
+	w.failures++
+}
+
+func (w *worker) full(now time.Time) { w.until = now.Add(roomOut) }
+
+// sortBySpeed puts the fastest endpoints first.
+func (f *Foreman) sortBySpeed(list []*fleet.Endpoint, now time.Time) {
+	slices.SortStableFunc(list, func(a, b *fleet.Endpoint) int {
+		return cmp.Compare(f.worker(a).factor(now), f.worker(b).factor(now))
+	})
+}
--- /dev/null
+++ b/internal/stage/gatherer/gatherer.go
@@ -0,0 +1,151 @@
+// Package gatherer serves the orders of all instances on the one that gathers:
+// it has the stages of a request done, and then chooses its engine.
+package gatherer
+
+// This file defines Gatherer.
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/call"
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/routing/prompt"
+	"github.com/jacinthstile/jacinthstile/internal/stage/foreman"
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+)
+
+const (
+	// firstEvent is how long an engine usually takes to its first event: part
+	// of a prompt to read, a wait for a step, and the way.
+	firstEvent = 160 * time.Millisecond
+	sweepEvery = 5 * time.Second
+)
+
+// Order is what a request needs before it can run.
+type Order struct {
+	Job     *job.Job // nil where the request has no stages; its times are those of the request
+	ID      string
+	Service string // of the engine; empty where none is wanted
+	Prompt  []call.Part
+	Tried   []string // engines that failed the request
+}
+
+// Ready is what an order was answered with.
+type Ready struct {
+	Handles []string
+	Engine  string // name of the endpoint; empty where none is known
+}
+
+// Gatherer is safe for concurrent use.
+type Gatherer struct {
+	foreman *foreman.Foreman
+	chooser *prompt.Chooser
+	catalog func() *catalog.Catalog
+	fleet   func() *fleet.Index
+	log     logr.Logger
+}
+
+// New returns a gatherer.
+func New(f *foreman.Foreman, p *prompt.Chooser, c func() *catalog.Catalog, x func() *fleet.Index, log logr.Logger) *Gatherer {
+	return &Gatherer{foreman: f, chooser: p, catalog: c, fleet: x, log: log}
+}
+
+// Order has the stages of a request done and chooses its engine. Ended must
+// follow. The error is a *fault.Fault or the context's.
+func (g *Gatherer) Order(ctx context.Context, o Order) (Ready, error) {
+	now := time.Now()
+	for _, name := range o.Tried {
+		g.chooser.Failed(name, now)
+	}
+	var results []job.Result
+	if o.Job != nil {
+		o.Job.Goal = o.Job.Goal.Add(-firstEvent)
+		o.Job.Deadline = o.Job.Deadline.Add(-firstEvent)
+		var err error
+		if results, err = g.foreman.Prepare(ctx, o.Job); err != nil {
+			return Ready{}, err
+		}
+	}
+	return g.ready(o, results), nil
+}
+
+// Remake makes an order's results once more.
+func (g *Gatherer) Remake(ctx context.Context, id string) (Ready, error) {
+	results, err := g.foreman.Remake(ctx, id)
+	return Ready{Handles: handles(results)}, err
+}
+
+func (g *Gatherer) ready(o Order, results []job.Result) Ready {
+	r := Ready{Handles: handles(results)}
+	cat := g.catalog()
+	if cat == nil {
+		return r
+	}
+	s := cat.Services[o.Service]
+	if s == nil || s.Engine == nil {
+		return r
+	}
+	index := g.fleet()
+	q := prompt.Request{ID: o.ID, Prompt: o.Prompt, Inputs: make(map[string]int64), Tried: make(map[string]bool)}
+	for _, name := range o.Tried {
+		q.Tried[name] = true
+	}
+	for _, result := range results {
+		if e := index.Named(result.Maker); e != nil {
+			q.Inputs[e.Centre] += result.Bytes
+		}
+	}
+	choice := g.chooser.Place(q, index.Of(o.Service), s.Engine.Tokens, time.Now())
+	if choice.Engine == nil {
+		return r
+	}
+	r.Engine = choice.Engine.Name()
+	g.log.V(1).Info("engine chosen", "request", o.ID, "engine", choice.Engine.ID, "unread", choice.Unread, "total", choice.Total,
+		"pending", choice.Pending, "running", choice.Running, "cost", int(choice.Cost))
+	return r
+}
+
+func handles(results []job.Result) []string {
+	list := make([]string, len(results))
+	for i, r := range results {
+		list[i] = r.Handle
+	}
+	return list
+}
+
+// Started tells that the inputs of requests are not needed any more.
+func (g *Gatherer) Started(ids []string) {
+	now := time.Now()
+	for _, id := range ids {
+		g.foreman.Release(id)
+		g.chooser.Started(id, now)
+	}
+}
+
+// Ended tells that requests have left their engines, or were given up.
+func (g *Gatherer) Ended(ids []string) {
+	for _, id := range ids {
+		g.foreman.Release(id)
+		g.chooser.Ended(id)
+	}
+}
+
+// Run looks after the foreman's work until the context ends.
+func (g *Gatherer) Run(ctx context.Context) {
+	go g.foreman.Run(ctx)
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			index := g.fleet()
+			g.chooser.Sweep(func(name string) bool { return index.Named(name) != nil }, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/stage/job/job.go
@@ -0,0 +1,102 @@
+// Package job provides the stage work of one request: which pieces have to be
+// made before the request can run, and which are made already.
+package job
+
+// This file defines Job.
+
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+)
+
+// Job is the stage work of one request. The exported fields are not changed
+// once it is submitted; the rest belongs to the queue.
+type Job struct {
+	ID       string
+	Key      string // that the pieces of first stages are made from
+	Stages   []catalog.Stage
+	Pieces   []int     // wanted of each stage
+	Rank     int       // zero is the most urgent
+	Goal     time.Time // until when the stages should end, so that the request is on time
+	Deadline time.Time // from when on nobody waits for the request
+
+	Made    [][]Result // by stage and piece; a zero Result where it is not made
+	Open    []int      // pieces of each stage that are not made
+	Started []bool     // whether the pieces of a stage are queued
+	Ended   bool       // finished, cancelled or given up
+}
+
+// Result is one made piece.
+type Result struct {
+	Handle string
+	Maker  string // name of the endpoint that holds it
+	Bytes  int64
+}
+
+// New prepares a job of which nothing is made.
+func New(id, key string, stages []catalog.Stage, pieces []int, rank int, goal, deadline time.Time) *Job {
+	j := &Job{
+		ID: id, Key: key, Stages: stages, Pieces: pieces, Rank: rank, Goal: goal, Deadline: deadline,
+		Made: make([][]Result, len(stages)), Open: make([]int, len(stages)), Started: make([]bool, len(stages)),
+	}
+	for i := range stages {
+		j.Made[i] = make([]Result, pieces[i])
+		j.Open[i] = pieces[i]
+	}
+	return j
+}
+
+// Ready reports whether the stages before stage i are made.
+func (j *Job) Ready(i int) bool {
+	for _, a := range j.Stages[i].After {
+		if j.Open[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Finished reports whether all pieces are made.
+func (j *Job) Finished() bool {
+	for _, n := range j.Open {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Inputs returns the handles of the results that a piece of stage i takes.
+func (j *Job) Inputs(i int) []string {
+	var handles []string
+	for _, a := range j.Stages[i].After {
+		for _, r := range j.Made[a] {
+			handles = append(handles, r.Handle)
+		}
+	}
+	return handles
+}
+
+// Last reports whether no other stage takes the results of stage i.
+func (j *Job) Last(i int) bool {
+	for _, s := range j.Stages {
+		for _, a := range s.After {
+			if a == i {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Outputs returns the results that the request itself takes.
+func (j *Job) Outputs() []Result {
+	var list []Result
+	for i := range j.Stages {
+		if j.Last(i) {
+			list = append(list, j.Made[i]...)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/stage/queue/fill.go
@@ -0,0 +1,102 @@
+package queue
+
+// This file chooses the pieces of the next call.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+)
+
+const (
+	batchGain = 0.1 // weight of a call in the moving mean of pieces in a call
+	least     = 1   // pieces that a call is assumed to hold at least
+)
+
+// Worker is a free endpoint of a service.
+type Worker struct {
+	Service string
+	Room    int64   // bytes that it can take
+	Slow    float64 // how many times as long as usual it takes, 1 or more
+}
+
+// Fill returns the pieces of a worker's next call, and takes them out of the
+// line. It returns none where nothing waits that the worker can make in time
+// while others could.
+func (q *Queue) Fill(w Worker, now time.Time) []Piece {
+	l := q.line(w.Service)
+	if l.waiting == 0 {
+		return nil
+	}
+	order := q.order(l, w, now)
+	var pieces []Piece
+	for _, r := range order {
+		g := r.group
+		size := max(1, g.job.Stages[g.stage].Bytes)
+		for len(g.pieces) > 0 && len(pieces) < l.batch.Most && w.Room >= size {
+			pieces = append(pieces, Piece{Job: g.job, Stage: g.stage, Index: g.pieces[0]})
+			g.pieces = g.pieces[1:]
+			w.Room -= size
+			l.waiting--
+		}
+	}
+	l.clean()
+	if len(pieces) > 0 {
+		l.batched += batchGain * (float64(len(pieces)) - l.batched)
+	}
+	return pieces
+}
+
+// ranked is a group with the time that it has to spare.
+type ranked struct {
+	group *group
+	spare time.Duration
+}
+
+// order sorts the groups of a line: those that can be on time by the time they
+// have to spare, then those that cannot, the most urgent rank first.
+func (q *Queue) order(l *line, w Worker, now time.Time) []ranked {
+	list := make([]ranked, 0, len(l.groups))
+	usual := l.call()
+	slow := time.Duration(w.Slow*float64(usual)) - usual
+	for _, g := range l.groups {
+		spare := g.job.Goal.Sub(now) - usual - q.rest(g.job, g.stage)
+		if spare >= 0 && spare < slow && l.workers > 1 {
+			continue // another worker can still make it in time
+		}
+		list = append(list, ranked{group: g, spare: spare})
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int {
+		if (a.spare < 0) != (b.spare < 0) {
+			return cmp.Compare(b.spare, a.spare) // the one that can be on time
+		}
+		if a.spare < 0 {
+			return cmp.Or(cmp.Compare(a.group.job.Rank, b.group.job.Rank), cmp.Compare(b.spare, a.spare))
+		}
+		return cmp.Compare(a.spare, b.spare)
+	})
+	return list
+}
+
+// call is how long a call usually takes.
+func (l *line) call() time.Duration {
+	n := min(float64(l.batch.Most), max(least, l.batched))
+	return l.batch.Call + time.Duration(n*float64(l.batch.Item))
+}
+
+// rest is how long the stages after stage i usually take.
+func (q *Queue) rest(j *job.Job, i int) time.Duration {
+	var longest time.Duration
+	for k := i + 1; k < len(j.Stages); k++ {
+		if j.Open[k] > 0 && slices.Contains(j.Stages[k].After, i) {
+			l := q.line(j.Stages[k].Service)
+			longest = max(longest, l.call()+l.turn()+q.rest(j, k))
+		}
+	}
+	return longest
+}
+
+// turn is how long it usually takes until a worker is free.
+func (l *line) turn() time.Duration { return l.call() / time.Duration(l.workers+1) }
