Close a stream's connection when it cannot be resumed

Ruled out: the endpoint's own end of stream, which was a cut. Now any failure after the answer has begun closes the connection, and a stream that resumes has its inputs made again in an order of its own.

--- a/internal/edge/proxy/answer.go
+++ b/internal/edge/proxy/answer.go
@@ -63,21 +63,23 @@
 func (f *flight) refused(ctx context.Context, lease *dispatcher.Lease, a *upstream.Answer) (bool, error) {
 	discard(a)
 	lease.Done(board.Result{Kind: failure.Refused})
-	if a.Status == http.StatusConflict && f.ready.Lost != nil {
-		return f.remake(ctx)
+	if a.Status == http.StatusConflict && len(f.ready.Inputs) > 0 {
+		return f.again(ctx, "inputs were gone")
 	}
 	f.tried = append(f.tried, lease.Endpoint.Name)
 	return f.next(fmt.Sprintf("endpoint %s refused with status %d", lease.Endpoint.Name, a.Status), false)
 }
 
-// remake makes the inputs again of which an endpoint found some missing.
-func (f *flight) remake(ctx context.Context) (bool, error) {
-	ready, err := f.ready.Lost(ctx)
-	if err != nil {
+// again has the inputs made once more, which no longer exist, and sends the
+// call again.
+func (f *flight) again(ctx context.Context, reason string) (bool, error) {
+	if ok, err := f.next(reason, false); !ok {
+		return false, err
+	}
+	if err := f.prepare(ctx); err != nil {
 		return false, err
 	}
-	f.ready = ready
-	return f.next("inputs were gone", false)
+	return true, nil
 }
 
 // unsuccessful handles an answer that is no success: the endpoint ran the call
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -38,10 +38,16 @@
 
 // Stager makes what a call needs before it can run.
 type Stager interface {
-	// Prepare returns the inputs of a call and the endpoint to run it on, given
-	// the names of those that failed it. The error is a *fault.Fault of class
-	// "not run", or the context's error.
-	Prepare(ctx context.Context, c *call.Call, tried []string) (Prepared, error)
+	// Prepare returns the inputs of a call and the endpoint to run it on. The
+	// error is a *fault.Fault of class "not run", or the context's error.
+	Prepare(ctx context.Context, r Round) (Prepared, error)
+}
+
+// Round asks a Stager for a call's needs, the first time or once more.
+type Round struct {
+	Call   *call.Call
+	Number int      // from 0
+	Tried  []string // names of endpoints that failed the call
 }
 
 // Prepared is what a Stager made for a call.
@@ -52,8 +58,6 @@
 	Started func()
 	// Ended tells that the call has left its endpoint.
 	Ended func()
-	// Lost tells that inputs no longer exist, and makes them again.
-	Lost func(ctx context.Context) (Prepared, error)
 }
 
 // Proxy is safe for concurrent use.
@@ -83,8 +87,12 @@
 	defer cancel()
 	f := &flight{Proxy: p, call: c, out: w}
 	err := f.fly(ctx)
-	if err == nil || errors.Is(err, ErrBroken) {
-		return err
+	if err == nil {
+		return nil
+	}
+	if f.stream.begun {
+		f.log.Info("stream broke", "request", c.ID, "events", f.stream.events, "reason", err.Error())
+		return ErrBroken
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return f.late()
@@ -105,6 +113,7 @@
 	call   *call.Call
 	out    http.ResponseWriter
 	ready  Prepared
+	rounds int      // of preparation
 	tried  []string // names of endpoints that failed the call
 	sends  int
 	runs   int  // sends that may have run
@@ -114,11 +123,9 @@
 
 func (f *flight) fly(ctx context.Context) error {
 	if f.isStream() {
-		ready, err := f.stager.Prepare(ctx, f.call, nil)
-		if err != nil {
+		if err := f.prepare(ctx); err != nil {
 			return err
 		}
-		f.ready = ready
 		defer func() { f.ready.Ended() }()
 	}
 	f.allowance.First(f.call.Service, time.Now())
@@ -130,6 +137,20 @@
 	}
 }
 
+// prepare has the call's inputs made and its endpoint chosen.
+func (f *flight) prepare(ctx context.Context) error {
+	ready, err := f.stager.Prepare(ctx, Round{Call: f.call, Number: f.rounds, Tried: f.tried})
+	f.rounds++
+	if err != nil {
+		return err
+	}
+	if f.rounds > 1 {
+		f.ready.Ended()
+	}
+	f.ready = ready
+	return nil
+}
+
 // attempt sends the call to one endpoint. It reports whether another attempt
 // should follow, and otherwise how the call ended.
 func (f *flight) attempt(ctx context.Context) (again bool, err error) {
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -43,12 +43,14 @@
 	lease.Done(board.Result{Kind: kind})
 	f.tried = append(f.tried, lease.Endpoint.Name)
 	again, end := f.failed(ctx, fmt.Errorf("stream of %s after %d events: %w", lease.Endpoint.Name, f.stream.events, err))
-	if !again && f.stream.begun {
-		f.log.Info("stream broke", "request", f.call.ID, "endpoint", lease.Endpoint.Name, "events", f.stream.events,
-			"reason", err.Error())
-		return false, ErrBroken
+	if !again || !f.stream.begun {
+		return again, end
 	}
-	return again, end
+	// The inputs were freed when the stream began.
+	if err := f.prepare(ctx); err != nil {
+		return false, err
+	}
+	return true, nil
 }
 
 // events relays until the stream's end, and returns when the first event came.
--- a/internal/peer/kind/kind.go
+++ b/internal/peer/kind/kind.go
@@ -27,8 +27,6 @@
 	StageRoll
 	// StageOrder asks the gathering instance for what a request needs.
 	StageOrder
-	// StageRemake asks for the results of an order once more.
-	StageRemake
 	// StageNews tells the gathering instance how requests went on.
 	StageNews
 )
@@ -42,10 +40,9 @@
 	LimitGive: "limit-give",
 	Status:    "status",
 
-	StageRoll:   "stage-roll",
-	StageOrder:  "stage-order",
-	StageRemake: "stage-remake",
-	StageNews:   "stage-news",
+	StageRoll:  "stage-roll",
+	StageOrder: "stage-order",
+	StageNews:  "stage-news",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -6,12 +6,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
-	"github.com/jacinthstile/jacinthstile/internal/edge/call"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -49,47 +49,44 @@
 }
 
 // Prepare makes the inputs of a call and chooses its engine.
-func (d *Desk) Prepare(ctx context.Context, c *call.Call, tried []string) (proxy.Prepared, error) {
+func (d *Desk) Prepare(ctx context.Context, r proxy.Round) (proxy.Prepared, error) {
 	for range mostLeaders {
 		leader := d.election.Leader(time.Now())
 		if leader == d.self {
 			break
 		}
-		p, err := d.ask(ctx, d.remote(leader), c, tried)
+		p, err := d.ask(ctx, d.remote(leader), r)
 		if err == nil || !lost(err) || ctx.Err() != nil {
 			return p, err
 		}
-		d.log.Info("gathering instance lost", "request", c.ID, "leader", leader, "reason", err.Error())
+		d.log.Info("gathering instance lost", "request", r.Call.ID, "leader", leader, "reason", err.Error())
 	}
-	return d.own(ctx, c, tried)
+	return d.own(ctx, r)
 }
 
 // own has this instance gather.
-func (d *Desk) own(ctx context.Context, c *call.Call, tried []string) (proxy.Prepared, error) {
-	ready, err := d.local.Order(ctx, orderOf(c, tried))
+func (d *Desk) own(ctx context.Context, r proxy.Round) (proxy.Prepared, error) {
+	o := orderOf(r)
+	ready, err := d.local.Order(ctx, o)
 	if err != nil {
-		d.local.Ended([]string{c.ID})
+		d.local.Ended([]string{o.ID})
 		return proxy.Prepared{}, err
 	}
-	return d.ownPrepared(c.ID, ready), nil
-}
-
-func (d *Desk) ownPrepared(id string, r gatherer.Ready) proxy.Prepared {
 	return proxy.Prepared{
-		Inputs: r.Handles, Prefer: r.Engine,
-		Started: func() { d.local.Started([]string{id}) },
-		Ended:   func() { d.local.Ended([]string{id}) },
-		Lost: func(ctx context.Context) (proxy.Prepared, error) {
-			again, err := d.local.Remake(ctx, id)
-			return d.ownPrepared(id, again), err
-		},
-	}
+		Inputs: ready.Handles, Prefer: ready.Engine,
+		Started: func() { d.local.Started([]string{o.ID}) },
+		Ended:   func() { d.local.Ended([]string{o.ID}) },
+	}, nil
 }
 
-func orderOf(c *call.Call, tried []string) gatherer.Order {
-	o := gatherer.Order{ID: c.ID, Service: c.Service, Prompt: c.Prompt, Tried: tried}
+func orderOf(r proxy.Round) gatherer.Order {
+	c := r.Call
+	o := gatherer.Order{ID: nameOf(r), Service: c.Service, Prompt: c.Prompt, Tried: r.Tried}
 	if c.Staged() {
-		o.Job = job.New(c.ID, c.Key, c.Route.Stages, c.Pieces, c.Rank, c.Goal, c.Deadline)
+		o.Job = job.New(o.ID, c.ID, c.Key, c.Route.Stages, c.Pieces, c.Rank, c.Goal, c.Deadline)
 	}
 	return o
 }
+
+// nameOf returns the id of an order: news of one round says nothing of another.
+func nameOf(r proxy.Round) string { return r.Call.ID + "." + strconv.Itoa(r.Number) }
--- a/internal/stage/desk/remote.go
+++ b/internal/stage/desk/remote.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/jacinthstile/jacinthstile/internal/edge/call"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
@@ -56,13 +55,14 @@
 	return !errors.As(err, &f)
 }
 
-func (d *Desk) ask(ctx context.Context, r *remote, c *call.Call, tried []string) (proxy.Prepared, error) {
+func (d *Desk) ask(ctx context.Context, r *remote, round proxy.Round) (proxy.Prepared, error) {
+	id := nameOf(round)
 	out := new(stagepb.Outcome)
-	if err := d.send(ctx, r, kind.StageOrder, encodeOrder(c, tried), out); err != nil {
-		d.tell(r, nil, []string{c.ID})
+	if err := d.send(ctx, r, kind.StageOrder, encodeOrder(round), out); err != nil {
+		d.tell(r, nil, []string{id})
 		return proxy.Prepared{}, err
 	}
-	return d.taken(r, c.ID, out)
+	return d.taken(r, id, out)
 }
 
 // send makes one call, which ends when the instance is taken for lost.
@@ -98,13 +98,6 @@
 		Inputs: out.Handles, Prefer: out.Engine,
 		Started: func() { d.tell(r, []string{id}, nil) },
 		Ended:   func() { d.tell(r, nil, []string{id}) },
-		Lost: func(ctx context.Context) (proxy.Prepared, error) {
-			again := new(stagepb.Outcome)
-			if err := d.send(ctx, r, kind.StageRemake, &stagepb.Remake{Id: id}, again); err != nil {
-				return proxy.Prepared{}, err
-			}
-			return d.taken(r, id, again)
-		},
 	}, nil
 }
 
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/call"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -48,14 +49,6 @@
 		ready, err := d.local.Order(ctx, o)
 		return proto.Marshal(encodeOutcome(ready, err))
 	})
-	d.mesh.Handle(kind.StageRemake, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
-		var in stagepb.Remake
-		if err := proto.Unmarshal(body, &in); err != nil {
-			return nil, err
-		}
-		ready, err := d.local.Remake(ctx, in.Id)
-		return proto.Marshal(encodeOutcome(ready, err))
-	})
 	d.mesh.Handle(kind.StageNews, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.News
 		if err := proto.Unmarshal(body, &in); err != nil {
@@ -67,11 +60,12 @@
 	})
 }
 
-func encodeOrder(c *call.Call, tried []string) *stagepb.Order {
+func encodeOrder(r proxy.Round) *stagepb.Order {
+	c := r.Call
 	o := &stagepb.Order{
-		Id: c.ID, Key: c.Key, Rank: uint32(max(0, c.Rank)), GoalMs: time.Until(c.Goal).Milliseconds(),
+		Id: nameOf(r), Request: c.ID, Key: c.Key, Rank: uint32(max(0, c.Rank)), GoalMs: time.Until(c.Goal).Milliseconds(),
 		DeadlineMs: uint64(max(0, time.Until(c.Deadline).Milliseconds())), Service: c.Service, Output: uint32(max(0, c.Output)),
-		Tried: tried,
+		Tried: r.Tried,
 	}
 	if c.Staged() {
 		for i, s := range c.Route.Stages {
@@ -114,7 +108,7 @@
 	}
 	goal := now.Add(bounded(time.Duration(in.GoalMs) * time.Millisecond))
 	deadline := now.Add(bounded(time.Duration(in.DeadlineMs) * time.Millisecond))
-	o.Job = job.New(in.Id, in.Key, stages, pieces, int(in.Rank), goal, deadline)
+	o.Job = job.New(in.Id, in.Request, in.Key, stages, pieces, int(in.Rank), goal, deadline)
 	return o, nil
 }
 
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -89,7 +89,7 @@
 }
 
 func item(p queue.Piece, now time.Time) maker.Item {
-	it := maker.Item{ID: p.Job.ID, Stage: p.Stage, Piece: p.Index, Left: p.Job.Deadline.Sub(now)}
+	it := maker.Item{ID: p.Job.Request, Stage: p.Stage, Piece: p.Index, Left: p.Job.Deadline.Sub(now)}
 	if len(p.Job.Stages[p.Stage].After) == 0 {
 		it.Key = p.Job.Key
 		return it
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -141,20 +141,6 @@
 	return s.Batch
 }
 
-// Remake makes a finished job's results again, some of which no longer exist.
-func (f *Foreman) Remake(ctx context.Context, id string) ([]job.Result, error) {
-	f.mu.Lock()
-	e := f.jobs[id]
-	if e == nil {
-		f.mu.Unlock()
-		return nil, fault.New(code.NoTime, "the results are gone and their job is not known any more")
-	}
-	f.restart(e)
-	f.dispatch(time.Now())
-	f.mu.Unlock()
-	return f.await(ctx, e)
-}
-
 // restart makes all results of a job again, since those that later stages
 // took have been freed.
 func (f *Foreman) restart(e *entry) {
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -73,12 +73,6 @@
 	return g.ready(o, results), nil
 }
 
-// Remake makes an order's results once more.
-func (g *Gatherer) Remake(ctx context.Context, id string) (Ready, error) {
-	results, err := g.foreman.Remake(ctx, id)
-	return Ready{Handles: handles(results)}, err
-}
-
 func (g *Gatherer) ready(o Order, results []job.Result) Ready {
 	r := Ready{Handles: handles(results)}
 	cat := g.catalog()
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -13,7 +13,8 @@
 // Job is the stage work of one request. The exported fields are not changed
 // once it is submitted; the rest belongs to the queue.
 type Job struct {
-	ID       string
+	ID       string // of the order
+	Request  string // id of the request, as endpoints know it
 	Key      string // that the pieces of first stages are made from
 	Stages   []catalog.Stage
 	Pieces   []int     // wanted of each stage
@@ -35,9 +36,9 @@
 }
 
 // New prepares a job of which nothing is made.
-func New(id, key string, stages []catalog.Stage, pieces []int, rank int, goal, deadline time.Time) *Job {
+func New(id, request, key string, stages []catalog.Stage, pieces []int, rank int, goal, deadline time.Time) *Job {
 	j := &Job{
-		ID: id, Key: key, Stages: stages, Pieces: pieces, Rank: rank, Goal: goal, Deadline: deadline,
+		ID: id, Request: request, Key: key, Stages: stages, Pieces: pieces, Rank: rank, Goal: goal, Deadline: deadline,
 		Made: make([][]Result, len(stages)), Open: make([]int, len(stages)), Started: make([]bool, len(stages)),
 	}
 	for i := range stages {
