Open account limits at once at a fleet's first start; move store watching into the product

- limit: a process opens its seat early once the holders of all other seats say that nobody came before.
- result: code 2004 is 502, since its outcome is unknown; a test holds every code that is not 'not run' off the statuses that promise so.
- edge/follower: the watch of the store with its recovery, behind an interface; tests of a store that is down, silent, forgetful or holds unreadable entries.

--- /dev/null
+++ b/internal/edge/follower/follower.go
@@ -0,0 +1,185 @@
+// Package follower keeps the catalog and the fleet current from a store that
+// can only be read and watched, and the proof that they are. It bears a store
+// that is slow, silent, down, or forgets its history.
+package follower
+
+// This file defines Follower.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
+)
+
+const (
+	watchWait   = 1200 * time.Millisecond // a proof is renewed this often; several fit the bound on revoked keys
+	watchMargin = 900 * time.Millisecond  // beyond the wait, for a store that is slow
+	probeWait   = time.Millisecond        // of the first watch after a failure, for a proof at once
+	listLimit   = 3 * time.Second         // of a whole list, in pages
+	leastPause  = 100 * time.Millisecond  // before the store is asked again after a failure
+	mostPause   = 500 * time.Millisecond
+)
+
+// Follower follows one source. Run is called once.
+type Follower struct {
+	source  Source
+	proof   *proof.Proof
+	fleet   *fleet.Fleet
+	publish func(*catalog.Catalog)
+	log     logr.Logger
+
+	version uint64    // of the catalog in force
+	at      uint64    // revision up to which changes are known
+	listed  bool      // whether at stands for a whole list
+	lost    bool      // whether the last call failed
+	since   time.Time // of the loss
+}
+
+// New returns a follower that hands each catalog in force to publish.
+func New(s Source, p *proof.Proof, f *fleet.Fleet, publish func(*catalog.Catalog), log logr.Logger) *Follower {
+	return &Follower{source: s, proof: p, fleet: f, publish: publish, log: log}
+}
+
+// Run follows the source until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	wait := leastPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.sweep()
+		if err == nil {
+			wait = leastPause
+			continue
+		}
+		f.fail(err)
+		pause.For(ctx, wait/2+rand.N(wait/2))
+		wait = min(mostPause, 2*wait)
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	err := f.watch(ctx)
+	if errors.Is(err, ErrCompacted) {
+		f.log.Info("history lost, listing again", "revision", f.at)
+		f.listed = false
+		return f.list(ctx)
+	}
+	return err
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	asked := f.proof.Now()
+	changes, at, err := f.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	var endpoints []fleet.Endpoint
+	for _, c := range changes {
+		if r, ok := c.(Registered); ok {
+			endpoints = append(endpoints, r.Endpoint)
+			continue
+		}
+		f.apply(c)
+	}
+	f.fleet.Sync(endpoints, time.Now())
+	f.log.Info("store listed", "revision", at, "endpoints", len(endpoints))
+	f.at, f.listed = at, true
+	f.proof.Renew(asked)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	wait := watchWait
+	if f.lost {
+		wait = probeWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	asked := f.proof.Now()
+	changes, at, err := f.source.Watch(ctx, f.at, wait)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	for _, c := range changes {
+		f.apply(c)
+	}
+	f.at = max(f.at, at)
+	// An answer without changes was given when the wait was over.
+	if len(changes) == 0 && f.proof.Now()-asked >= wait {
+		asked += wait
+	}
+	f.proof.Renew(asked)
+	return nil
+}
+
+// apply takes one change into force.
+func (f *Follower) apply(c Change) {
+	switch c := c.(type) {
+	case Published:
+		f.adopt(c.Catalog)
+	case Registered:
+		e := c.Endpoint
+		f.log.Info("endpoint registered", "endpoint", e.ID, "service", e.Service, "state", e.State.String(), "born", e.Born)
+		f.fleet.Put(e)
+	case Unregistered:
+		gone := f.fleet.Remove(c.ID, time.Now())
+		f.log.Info("endpoint unregistered", "endpoint", c.ID, "gone", gone)
+	case Unreadable:
+		f.log.Info("entry ignored", "endpoint", c.Endpoint, "reason", c.Reason.Error(), "version", f.version)
+		if c.Endpoint != "" {
+			f.fleet.Remove(c.Endpoint, time.Now())
+		}
+	default:
+		panic(fmt.Sprintf("follower: got change %T", c))
+	}
+}
+
+// adopt takes a catalog into force. Versions only rise.
+func (f *Follower) adopt(c *catalog.Catalog) {
+	if c.Version <= f.version {
+		return
+	}
+	f.log.Info("catalog in force", "version", c.Version, "before", f.version, "routes", len(c.Routes()))
+	f.version = c.Version
+	f.publish(c)
+}
+
+func (f *Follower) fail(err error) {
+	if f.lost {
+		return
+	}
+	f.lost, f.since = true, time.Now()
+	f.fleet.Lose()
+	age, _ := f.proof.Age()
+	f.log.Error(err, "store out of reach", "proof", age.String())
+}
+
+func (f *Follower) regain() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.fleet.Regain(time.Now())
+	f.log.Info("store reached again", "after", time.Since(f.since).String())
+}
+
+func (f *Follower) sweep() {
+	for _, id := range f.fleet.Tick(time.Now()) {
+		f.log.Info("endpoint gone", "endpoint", id, "reason", "its registration did not come back")
+	}
+}
--- /dev/null
+++ b/internal/edge/follower/follower_test.go
@@ -0,0 +1,249 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/edge/follower"
+	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
+)
+
+// state is what is wrong with the store.
+type state int
+
+const (
+	sound state = iota
+	down
+	silent
+	compacted
+)
+
+var errDown = errors.New("down")
+
+// store is a source whose state the tests set.
+type store struct {
+	mu      sync.Mutex
+	state   state
+	version uint64
+	ready   map[string]bool
+	events  []follower.Change
+	calls   int
+}
+
+func (s *store) set(st state) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = st
+}
+
+func (s *store) register(id string, present bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if present {
+		s.ready[id] = true
+		s.events = append(s.events, registered(id))
+		return
+	}
+	delete(s.ready, id)
+	s.events = append(s.events, follower.Unregistered{ID: id})
+}
+
+func registered(id string) follower.Registered {
+	return follower.Registered{Endpoint: fleet.Endpoint{ID: id, Service: "s", Address: id + ":1", Centre: "c", Slots: 1, State: fleet.Ready}}
+}
+
+func (s *store) publish(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+	s.events = append(s.events, published(version))
+}
+
+func published(version uint64) follower.Published {
+	return follower.Published{Catalog: catalog.New(version, nil, nil, nil, false, catalog.Limits{})}
+}
+
+func (s *store) enter(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	st := s.state
+	s.mu.Unlock()
+	switch st {
+	case down:
+		return errDown
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	default:
+		time.Sleep(4 * time.Millisecond)
+		return nil
+	}
+}
+
+func (s *store) List(ctx context.Context) ([]follower.Change, uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == compacted {
+		s.state = sound
+	}
+	list := []follower.Change{published(s.version)}
+	for id := range s.ready {
+		list = append(list, registered(id))
+	}
+	return list, uint64(len(s.events)), nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Change, uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		all, st := s.events, s.state
+		s.mu.Unlock()
+		switch {
+		case st == compacted:
+			return nil, 0, follower.ErrCompacted
+		case st == silent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case st == down:
+			return nil, 0, errDown
+		case uint64(len(all)) > after:
+			return all[after:], uint64(len(all)), nil
+		case !time.Now().Before(end):
+			return nil, uint64(len(all)), nil
+		}
+	}
+}
+
+// world is a follower of a store, in a bubble.
+type world struct {
+	store   *store
+	proof   *proof.Proof
+	version atomic.Uint64
+	index   atomic.Pointer[fleet.Index]
+}
+
+func (w *world) uses(id string) bool {
+	return w.index.Named(id+"@0") != nil && w.index.Named(id+"@0").Takes()
+}
+
+// play runs a follower of a store with one catalog and two endpoints.
+func play(t *testing.T, f func(g *WithT, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		w := &world{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}}
+		w.proof = proof.New(func() time.Duration { return time.Since(start) + time.Hour })
+		members := fleet.New(func(all []*fleet.Endpoint) { w.index.Store(fleet.NewIndex(all)) })
+		ctx, cancel := context.WithCancel(t.Context())
+		f2 := follower.New(w.store, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f2.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		f(NewWithT(t), w)
+		cancel()
+		<-done
+	})
+}
+
+const revoke = 5 * time.Second // the bound that proofs serve
+
+func TestProofStaysYoungAndCallsAreFew(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		before := w.store.calls
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+		}
+		g.Expect(w.store.calls-before).To(BeNumerically("<=", 20), "calls in 20 s")
+	})
+}
+
+func TestChangesComeSoon(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.publish(5)
+		w.store.register("b", false)
+		w.store.register("c", true)
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(w.version.Load()).To(Equal(uint64(5)))
+		g.Expect(w.uses("b")).To(BeFalse())
+		g.Expect(w.uses("c")).To(BeTrue())
+	})
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.publish(5)
+		time.Sleep(50 * time.Millisecond)
+		w.store.publish(3)
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(w.version.Load()).To(Equal(uint64(5)))
+	})
+}
+
+// TestOutages takes the store away in each way. The proof ages, endpoints that
+// lapse meanwhile stay in use, and all is current again soon after the return.
+func TestOutages(t *testing.T) {
+	for _, st := range []state{down, silent} {
+		t.Run(fmt.Sprint(st), func(t *testing.T) {
+			play(t, func(g *WithT, w *world) {
+				w.store.set(st)
+				time.Sleep(6 * time.Second)
+				g.Expect(w.proof.Within(revoke)).To(BeFalse(), "keys are not trusted without a proof")
+				w.store.register("a", false) // a lapse
+				w.store.register("b", false) // gone for good
+				w.store.publish(2)
+				w.store.set(sound)
+				time.Sleep(1500 * time.Millisecond)
+				g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+				g.Expect(w.version.Load()).To(Equal(uint64(2)))
+				g.Expect(w.uses("a")).To(BeTrue(), "it may only have lapsed")
+				w.store.register("a", true)
+				time.Sleep(fleet.Settle + 2*time.Second)
+				g.Expect(w.uses("a")).To(BeTrue())
+				g.Expect(w.uses("b")).To(BeFalse(), "it did not come back")
+			})
+		})
+	}
+}
+
+func TestLostHistoryIsListed(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.set(compacted)
+		w.store.register("b", false)
+		time.Sleep(time.Second)
+		g.Expect(w.uses("a")).To(BeTrue())
+		g.Expect(w.uses("b")).To(BeFalse())
+		g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+	})
+}
+
+func TestUnreadableEntriesNameNoEndpoint(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.mu.Lock()
+		w.store.events = append(w.store.events, follower.Unreadable{Endpoint: "b", Reason: errDown}, follower.Unreadable{Reason: errDown})
+		w.store.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(w.uses("a")).To(BeTrue())
+		g.Expect(w.uses("b")).To(BeFalse())
+		g.Expect(w.version.Load()).To(Equal(uint64(1)))
+	})
+}
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -29,7 +29,8 @@
 	version  uint64
 	contact  time.Time // when the last witness that answered was asked
 	replaced bool
-	isOpened bool     // the quiet period is over
+	isOpened bool // the quiet period is over
+	first    first
 	shifts   []*shift // changes of the seat count whose units still rest
 	changes  uint64
 }
@@ -57,7 +58,7 @@
 	switch {
 	case g.seat < 0 || g.seat >= g.seats || g.replaced:
 		return false
-	case within(g.start, g.rules.Quiet, now):
+	case within(g.start, g.rules.Quiet, now) && !g.first.known(g.seat, g.seats):
 		return false
 	}
 	g.isOpened = true
--- a/internal/limit/keeper/keeper.go
+++ b/internal/limit/keeper/keeper.go
@@ -56,7 +56,9 @@
 	epoch   uint64 // of the table that the gate follows
 	version uint64
 	newest  map[int]uint64 // latest incarnation known, by seat
-	open    bool           // as last logged
+
+	followed map[int]bool // seats in which more than one incarnation was met
+	open     bool         // as last logged
 
 	shards [shards]shard
 }
@@ -69,7 +71,7 @@
 	k := &Keeper{
 		self: self, quiet: quiet, tables: t, peers: peers, find: find, log: log, start: now,
 		gate:   gate.New(self.Seat, self.Incarnation, now),
-		newest: make(map[int]uint64),
+		newest: make(map[int]uint64), followed: make(map[int]bool),
 	}
 	for i := range k.shards {
 		k.shards[i].accounts = make(map[string]*standing)
--- a/internal/limit/keeper/probe.go
+++ b/internal/limit/keeper/probe.go
@@ -16,15 +16,17 @@
 
 const (
 	probeEvery = 2 * time.Second
+	startEvery = 300 * time.Millisecond // between rounds while a first start may be under way
 	witnesses  = 3
 	mostProbes = 16 // a round
 )
 
 // Run keeps the seat in use until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	tick := time.NewTicker(probeEvery)
+	tick := time.NewTicker(startEvery)
 	defer tick.Stop()
 	for round := 0; ; round++ {
+		tick.Reset(k.every(time.Now()))
 		var probes sync.WaitGroup
 		for _, seat := range k.probes(round) {
 			probes.Go(func() { k.probe(ctx, seat) })
@@ -40,6 +42,16 @@
 	}
 }
 
+// every returns the time to the next round.
+func (k *Keeper) every(now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.gate.Starting(now) {
+		return startEvery
+	}
+	return probeEvery
+}
+
 // probes returns the seats to ask in a round: the three next ones, three more
 // that change from round to round where those may be gone, and the seats whose
 // word is wanted after a change of the seat count.
@@ -58,6 +70,12 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.gate.Starting(time.Now()) {
+		ask = ask[:0]
+		for i := range min(mostProbes, seats-1) {
+			ask = append(ask, (k.self.Seat+1+(round*mostProbes+i)%(seats-1))%seats)
+		}
+	}
 	pending := k.gate.Pending()
 	return append(ask, pending[:min(len(pending), mostProbes)]...)
 }
@@ -83,7 +101,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if from.Seat >= 0 {
-		k.newest[from.Seat] = max(k.newest[from.Seat], from.Incarnation)
+		k.note(from)
+		k.gate.Witness(from.Seat, got.First)
 		k.gate.Confirm(from.Seat, got.Epoch, got.Version, time.Now())
 	}
 	for _, s := range got.Shifts {
--- a/internal/limit/keeper/serve.go
+++ b/internal/limit/keeper/serve.go
@@ -21,6 +21,7 @@
 	now := time.Now()
 	epoch, version := k.tables.Pair()
 	out := &limitpb.Taken{Epoch: epoch, Version: version, Newest: k.meet(from)}
+	out.First = k.isFirst(from.Seat, now)
 	if q.Account != "" {
 		out.Verdict = k.lend(&q, now)
 	} else {
@@ -36,15 +37,31 @@
 	if from.Seat < 0 {
 		return 0
 	}
-	newest := max(k.newest[from.Seat], from.Incarnation)
+	k.note(from)
+	newest := k.newest[from.Seat]
 	if from.Seat == k.self.Seat {
 		newest = max(newest, k.self.Incarnation)
 		k.gate.Met(newest, time.Time{})
 	}
-	k.newest[from.Seat] = newest
 	return newest
 }
 
+// note remembers the latest incarnation in a seat, and whether it followed another.
+func (k *Keeper) note(from identity.Identity) {
+	if known := k.newest[from.Seat]; known != 0 && known != from.Incarnation {
+		k.followed[from.Seat] = true
+	}
+	k.newest[from.Seat] = max(k.newest[from.Seat], from.Incarnation)
+}
+
+// isFirst reports whether this process takes part in a first start and has met
+// one process at most in a seat.
+func (k *Keeper) isFirst(seat int, now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gate.First(now) && !k.followed[seat]
+}
+
 func (k *Keeper) shifts() []*limitpb.Shift {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -97,7 +97,7 @@
 	AnswerLost:        {"answer_lost", http.StatusBadGateway, "the call was sent and no whole answer came"},
 	DeadlineOver:      {"deadline_over", http.StatusGatewayTimeout, "the call was sent and the deadline passed"},
 	IssuerGone:        {"issuer_gone", http.StatusBadGateway, "the instance that issued the ticket is gone; the call may have run"},
-	TicketUnreachable: {"ticket_unreachable", http.StatusServiceUnavailable, "the ticket's issuer was not asked; an earlier use of the ticket may have run, so ask again with the same ticket"},
+	TicketUnreachable: {"ticket_unreachable", http.StatusBadGateway, "the ticket's issuer was not asked; an earlier use of the ticket may have run, so ask again with the same ticket"},
 	TicketForgotten:   {"ticket_forgotten", http.StatusGone, "the ticket expired some time ago and its issuer no longer knows whether it was used"},
 	StageFailed:       {"stage_failed", http.StatusBadGateway, "a stage ran and failed"},
 	StreamBroken:      {"stream_broken", http.StatusBadGateway, "the stream lost its engine and could not be resumed"},
--- a/internal/result/code/code_test.go
+++ b/internal/result/code/code_test.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -50,3 +51,14 @@
 	}
 	return b.String()
 }
+
+// TestPromisesAreKept checks that the statuses by which callers and balancers
+// take a request for not run stand only where it never ran.
+func TestPromisesAreKept(t *testing.T) {
+	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, c := range code.All() {
+		if c.Class() != class.NotRun {
+			NewWithT(t).Expect(promises).NotTo(ContainElement(c.Status()), "code %d is of class %q", int(c), c.Class())
+		}
+	}
+}
