--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -38,7 +38,7 @@
 	version uint64
 	ready   map[string]bool
 	events  []follower.Change
-	calls   int
+	calls   atomic.Int64
 }
 
 func (s *store) set(st state) {
@@ -75,8 +75,8 @@
 }
 
 func (s *store) enter(ctx context.Context) error {
+	s.calls.Add(1)
 	s.mu.Lock()
-	s.calls++
 	st := s.state
 	s.mu.Unlock()
 	switch st {
@@ -140,7 +140,8 @@
 }
 
 func (w *world) uses(id string) bool {
-	return w.index.Named(id+"@0") != nil && w.index.Named(id+"@0").Takes()
+	e := w.index.Load().Named(id + "@0")
+	return e != nil && e.Takes()
 }
 
 // play runs a follower of a store with one catalog and two endpoints.
@@ -168,7 +169,7 @@
 
 func TestProofStaysYoungAndCallsAreFew(t *testing.T) {
 	play(t, func(g *WithT, w *world) {
-		before := w.store.calls
+		before := w.store.calls.Load()
 		for range 100 {
 			time.Sleep(200 * time.Millisecond)
 			g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
