--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -32,6 +32,8 @@
 
 	mu      sync.Mutex
 	leader  string
+	begun   chan struct{} // closed once this instance has settled
+	settled func()
 	remotes map[string]*remote // by address
 }
 
@@ -43,13 +45,20 @@
 func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, fit func() bool, log logr.Logger) *Desk {
 	d := &Desk{
 		self: self, local: local, election: e, mesh: m, fit: fit, log: log, remotes: make(map[string]*remote),
+		begun: make(chan struct{}),
 	}
+	d.settled = sync.OnceFunc(func() { close(d.begun) })
 	d.handle()
 	return d
 }
 
 // Prepare makes the inputs of a call and chooses its engine.
 func (d *Desk) Prepare(ctx context.Context, r proxy.Round) (proxy.Prepared, error) {
+	select {
+	case <-d.begun:
+	case <-ctx.Done():
+		return proxy.Prepared{}, ctx.Err()
+	}
 	for range mostLeaders {
 		leader := d.election.Leader(time.Now())
 		if leader == d.self {
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -15,17 +15,26 @@
 const (
 	askEvery = 300 * time.Millisecond // between two questions to the candidates
 	askLimit = 400 * time.Millisecond // of one question
+	askSoon  = 60 * time.Millisecond  // between questions while this instance settles
+	// Settle is the time from the start within which an instance waits to hear
+	// of another that gathers.
+	settle = 600 * time.Millisecond
 )
 
 // Run asks the candidates until the context ends.
 func (d *Desk) Run(ctx context.Context) {
 	go d.local.Run(ctx)
-	tick := time.NewTicker(askEvery)
+	start := time.Now()
+	tick := time.NewTicker(askSoon)
 	defer tick.Stop()
 	for {
 		d.election.SetFit(d.fit())
 		d.askAll(ctx)
 		d.follow(time.Now())
+		if d.follows() || time.Since(start) > settle {
+			d.settled()
+			tick.Reset(askEvery)
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -34,11 +43,18 @@
 	}
 }
 
+// follows reports whether this instance follows another one.
+func (d *Desk) follows() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leader != d.self
+}
+
 func (d *Desk) askAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	var all sync.WaitGroup
-	for _, address := range d.election.Ask(time.Now()) {
+	for _, address := range d.election.Ask(d.working(), time.Now()) {
 		all.Go(func() {
 			roll := new(stagepb.Roll)
 			if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
@@ -63,13 +79,26 @@
 		d.leader = leader
 	}
 	for address, r := range d.remotes {
-		if d.election.Silent(address, now) {
+		if r.open.Load() > 0 && d.election.Silent(address, now) {
 			r.lose()
 			delete(d.remotes, address)
 		}
 	}
 }
 
+// working returns the instances that work on orders of this one.
+func (d *Desk) working() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	for address, r := range d.remotes {
+		if r.open.Load() > 0 {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // roll is what this instance tells others.
 func (d *Desk) roll(now time.Time) *stagepb.Roll {
 	roll := new(stagepb.Roll)
--- a/internal/stage/desk/remote.go
+++ b/internal/stage/desk/remote.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
@@ -27,6 +28,7 @@
 	address string
 	ctx     context.Context // ends when the instance is taken for lost
 	lose    context.CancelFunc
+	open    atomic.Int64 // orders that it works on
 
 	mu      sync.Mutex
 	started []string
@@ -56,6 +58,8 @@
 }
 
 func (d *Desk) ask(ctx context.Context, r *remote, round proxy.Round) (proxy.Prepared, error) {
+	r.open.Add(1)
+	defer r.open.Add(-1)
 	id := nameOf(round)
 	out := new(stagepb.Outcome)
 	if err := d.send(ctx, r, kind.StageOrder, encodeOrder(round), out); err != nil {
--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -132,14 +132,14 @@
 	return r == nil || now.Sub(r.answered) > Silence
 }
 
-// Ask returns the addresses to ask next: the best candidates that may still
-// live, and the seeds that are not known yet.
-func (e *Election) Ask(now time.Time) []string {
+// Ask returns the addresses to ask next: those that work for this instance,
+// the best candidates that may still live, and the seeds.
+func (e *Election) Ask(working []string, now time.Time) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var asked []string
+	asked := slices.Clone(working)
 	for _, c := range e.best(now) {
-		if c.Address != e.self.Address && len(asked) < Most-1 {
+		if !slices.Contains(asked, c.Address) && len(asked) < len(working)+Most-1 {
 			asked = append(asked, c.Address)
 		}
 	}
--- a/internal/stage/election/election_test.go
+++ b/internal/stage/election/election_test.go
@@ -67,7 +67,7 @@
 			}
 			in.SetFit(!in.stopped)
 			before := in.Leader(f.now)
-			for _, address := range in.Ask(f.now) {
+			for _, address := range in.Ask(nil, f.now) {
 				to := f.find(address)
 				if to == nil || f.cut(in.address, address) || f.cut(address, in.address) {
 					in.Failed(address)
@@ -137,6 +137,17 @@
 	g.Expect(changes).To(BeNumerically("<=", 9+5*9), "changes of leader, over all instances")
 }
 
+// TestWorkingLeaderIsAsked checks that an instance that turned unfit is still
+// asked by those that it works for, and so not taken for silent.
+func TestWorkingLeaderIsAsked(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	e := election.New(election.Candidate{Address: "b", Since: 2}, []string{"b"})
+	e.Answered("a", []election.Candidate{{Address: "a", Since: 1, Heard: now}}, now)
+	g.Expect(e.Ask(nil, now)).To(BeEmpty())
+	g.Expect(e.Ask([]string{"a"}, now)).To(Equal([]string{"a"}))
+}
+
 func TestCutInstanceFollowsWhomItReaches(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(5)
