--- a/internal/routing/prompt/chooser.go
+++ b/internal/routing/prompt/chooser.go
@@ -90,6 +90,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	chain := chainOf(r.Prompt)
+	best := c.best(r, chain, engines, room, now)
+	if best.Engine != nil {
+		c.start(r.ID, c.engines[best.Engine.Name()], best, chain, now)
+	}
+	return best
+}
+
+// Look returns what Place would choose now.
+func (c *Chooser) Look(r Request, engines []*fleet.Endpoint, room int, now time.Time) Choice {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.best(r, chainOf(r.Prompt), engines, room, now)
+}
+
+func (c *Chooser) best(r Request, chain []link, engines []*fleet.Endpoint, room int, now time.Time) Choice {
 	best := Choice{}
 	for _, e := range engines {
 		if r.Tried[e.Name()] && len(engines) > len(r.Tried) {
@@ -101,9 +116,6 @@
 			best = v
 		}
 	}
-	if best.Engine != nil {
-		c.start(r.ID, c.engines[best.Engine.Name()], best, chain, now)
-	}
 	return best
 }
 
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -30,6 +30,8 @@
 	fit      func() bool
 	log      logr.Logger
 
+	asked sync.Map // addresses with a question under way
+
 	mu      sync.Mutex
 	leader  string
 	begun   chan struct{} // closed once this instance has settled
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
@@ -50,22 +49,29 @@
 	return d.leader != d.self
 }
 
+// askAll asks those who have answered the last question, or left it unanswered
+// for too long, so that one that is silent does not hold up the others.
 func (d *Desk) askAll(ctx context.Context) {
+	for _, address := range d.election.Ask(d.working(), time.Now()) {
+		if _, asked := d.asked.LoadOrStore(address, true); !asked {
+			go func() {
+				defer d.asked.Delete(address)
+				d.askOne(ctx, address)
+			}()
+		}
+	}
+}
+
+func (d *Desk) askOne(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	var all sync.WaitGroup
-	for _, address := range d.election.Ask(d.working(), time.Now()) {
-		all.Go(func() {
-			roll := new(stagepb.Roll)
-			if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
-				d.election.Failed(address)
-				return
-			}
-			now := time.Now()
-			d.election.Answered(address, decodeRoll(roll, now), now)
-		})
+	roll := new(stagepb.Roll)
+	if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
+		d.election.Failed(address)
+		return
 	}
-	all.Wait()
+	now := time.Now()
+	d.election.Answered(address, decodeRoll(roll, now), now)
 }
 
 // follow notes a change of the instance that gathers, and gives up what was
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -69,7 +69,7 @@
 // give sends the next call to an endpoint.
 func (f *Foreman) give(e *fleet.Endpoint, b *catalog.Batch, now time.Time) {
 	w := f.worker(e)
-	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Room: w.room(b), Slow: w.factor(now)}, now)
+	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Centre: e.Centre, Room: w.room(b), Slow: w.factor(now)}, now)
 	if len(pieces) == 0 {
 		return
 	}
@@ -137,7 +137,7 @@
 	size := p.Job.Stages[p.Stage].Bytes
 	e := f.jobs[p.Job.ID]
 	if o.Reason == maker.Made {
-		f.made(r, e, p, job.Result{Handle: o.Handle, Maker: r.endpoint.Name(), Bytes: size})
+		f.made(r, e, p, job.Result{Handle: o.Handle, Maker: r.endpoint.Name(), Centre: r.endpoint.Centre, Bytes: size})
 		return
 	}
 	r.worker.held -= size
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -130,11 +130,11 @@
 	if s == nil || s.Batch == nil {
 		return nil
 	}
-	usable := 0
+	usable := make(map[string]int)
 	now := time.Now()
 	for _, e := range f.fleet().Of(name) {
-		if !f.worker(e).out(now) {
-			usable += s.Batch.Calls
+		if !f.worker(e).failing(now) {
+			usable[e.Centre] += s.Batch.Calls
 		}
 	}
 	f.queue.Service(name, *s.Batch, usable)
@@ -185,7 +185,7 @@
 	defer f.mu.Unlock()
 	failed := 0
 	for _, w := range f.workers {
-		if w.failures > 1 && w.out(now) {
+		if w.failures > 1 && w.failing(now) {
 			failed++
 		}
 	}
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -57,6 +57,10 @@
 // out reports whether the endpoint rests.
 func (w *worker) out(now time.Time) bool { return now.Before(w.until) }
 
+// failing reports whether the endpoint rests after a failed call. One that is
+// only full is soon of use.
+func (w *worker) failing(now time.Time) bool { return w.failures > 0 && w.out(now) }
+
 // room returns the bytes of results that fit.
 func (w *worker) room(b *catalog.Batch) int64 { return int64(roomShare*float64(b.Room)) - w.held }
 
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -65,6 +65,7 @@
 	if o.Job != nil {
 		o.Job.Goal = o.Job.Goal.Add(-firstEvent)
 		o.Job.Deadline = o.Job.Deadline.Add(-firstEvent)
+		o.Job.Wanted = g.wanted(o)
 		var err error
 		if results, err = g.foreman.Prepare(ctx, o.Job); err != nil {
 			return Ready{}, err
@@ -89,9 +90,7 @@
 		q.Tried[name] = true
 	}
 	for _, result := range results {
-		if e := index.Named(result.Maker); e != nil {
-			q.Inputs[e.Centre] += result.Bytes
-		}
+		q.Inputs[result.Centre] += result.Bytes
 	}
 	choice := g.chooser.Place(q, index.Of(o.Service), s.Engine.Tokens, time.Now())
 	if choice.Engine == nil {
@@ -103,6 +102,25 @@
 	return r
 }
 
+// wanted returns the data centre of the engine that would be chosen now, for
+// results that are large enough to matter.
+func (g *Gatherer) wanted(o Order) string {
+	cat := g.catalog()
+	if cat == nil || cat.Services[o.Service] == nil || cat.Services[o.Service].Engine == nil {
+		return ""
+	}
+	for i, s := range o.Job.Stages {
+		if len(s.After) == 0 && !o.Job.Last(i) {
+			return "" // other stages take these
+		}
+	}
+	q := prompt.Request{ID: o.ID, Prompt: o.Prompt}
+	if e := g.chooser.Look(q, g.fleet().Of(o.Service), cat.Services[o.Service].Engine.Tokens, time.Now()).Engine; e != nil {
+		return e.Centre
+	}
+	return ""
+}
+
 func handles(results []job.Result) []string {
 	list := make([]string, len(results))
 	for i, r := range results {
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -21,6 +21,7 @@
 	Rank     int       // zero is the most urgent
 	Goal     time.Time // until when the stages should end, so that the request is on time
 	Deadline time.Time // from when on nobody waits for the request
+	Wanted   string    // data centre in which the results of the first stages are wanted; empty for any
 
 	Made    [][]Result // by stage and piece; a zero Result where it is not made
 	Open    []int      // pieces of each stage that are not made
@@ -32,6 +33,7 @@
 type Result struct {
 	Handle string
 	Maker  string // name of the endpoint that holds it
+	Centre string // of the endpoint
 	Bytes  int64
 }
 
@@ -79,6 +81,25 @@
 	return handles
 }
 
+// Home returns the data centre in which most bytes of what stage i takes lie.
+// For a first stage it is where its results are wanted; empty stands for any.
+func (j *Job) Home(i int) string {
+	if len(j.Stages[i].After) == 0 {
+		return j.Wanted
+	}
+	bytes := make(map[string]int64)
+	home := ""
+	for _, a := range j.Stages[i].After {
+		for _, r := range j.Made[a] {
+			bytes[r.Centre] += r.Bytes
+			if bytes[r.Centre] > bytes[home] {
+				home = r.Centre
+			}
+		}
+	}
+	return home
+}
+
 // Last reports whether no other stage takes the results of stage i.
 func (j *Job) Last(i int) bool {
 	for _, s := range j.Stages {
--- a/internal/stage/queue/fill.go
+++ b/internal/stage/queue/fill.go
@@ -12,12 +12,16 @@
 
 const (
 	batchGain = 0.1 // weight of a call in the moving mean of pieces in a call
-	least     = 1   // pieces that a call is assumed to hold at least
+	// homePatience is the number of calls that pieces wait for, over the workers
+	// in the data centre of their inputs, before they go to another one.
+	homePatience = 2
+	least        = 1 // pieces that a call is assumed to hold at least
 )
 
 // Worker is a free endpoint of a service.
 type Worker struct {
 	Service string
+	Centre  string
 	Room    int64   // bytes that it can take
 	Slow    float64 // how many times as long as usual it takes, 1 or more
 }
@@ -66,6 +70,9 @@
 		if spare >= 0 && spare < slow && l.workers > 1 {
 			continue // another worker can still make it in time
 		}
+		if g.home != w.Centre && l.centres[g.home] > 0 && spare > l.turnIn(g.home) {
+			continue // a worker beside its inputs should be free in time
+		}
 		list = append(list, ranked{group: g, spare: spare})
 	}
 	slices.SortStableFunc(list, func(a, b ranked) int {
@@ -98,5 +105,11 @@
 	return longest
 }
 
+// turnIn is how long it takes at most until a worker in a data centre is free
+// that is to make all that waits.
+func (l *line) turnIn(centre string) time.Duration {
+	return homePatience * l.call() / time.Duration(l.centres[centre])
+}
+
 // turn is how long it usually takes until a worker is free.
 func (l *line) turn() time.Duration { return l.call() / time.Duration(l.workers+1) }
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -36,7 +36,8 @@
 // line is what waits for one service.
 type line struct {
 	batch   catalog.Batch
-	workers int
+	workers int            // calls that the endpoints can work on at once
+	centres map[string]int // the same by data centre
 	groups  []*group
 	waiting int     // pieces in groups
 	coming  int     // pieces of admitted jobs whose earlier stages are not made
@@ -48,16 +49,20 @@
 	job    *job.Job
 	stage  int
 	pieces []int
+	home   string // data centre where its inputs lie; empty for none
 }
 
 // New returns an empty queue.
 func New() *Queue { return &Queue{lines: make(map[string]*line)} }
 
-// Service sets what is known of a service: how its endpoints work and how many
-// of them are usable.
-func (q *Queue) Service(name string, b catalog.Batch, workers int) {
+// Service sets what is known of a service: how its endpoints work, and how many
+// calls the usable ones can work on at once in each data centre.
+func (q *Queue) Service(name string, b catalog.Batch, centres map[string]int) {
 	l := q.line(name)
-	l.batch, l.workers = b, workers
+	l.batch, l.centres, l.workers = b, centres, 0
+	for _, n := range centres {
+		l.workers += n
+	}
 }
 
 func (q *Queue) line(name string) *line {
@@ -107,7 +112,7 @@
 			return
 		}
 	}
-	l.groups = append(l.groups, &group{job: j, stage: stage, pieces: pieces})
+	l.groups = append(l.groups, &group{job: j, stage: stage, pieces: pieces, home: j.Home(stage)})
 }
 
 // Made records a result. It reports whether the result is wanted, which it is
