--- a/internal/stage/queue/admit.go
+++ b/internal/stage/queue/admit.go
@@ -10,13 +10,20 @@
 )
 
 const (
-	// rankReserve is the share of a job's time that each step of its rank
-	// leaves to more urgent jobs.
-	rankReserve = 0.06
-	mostReserve = 0.3
 	// idleWait is the longest wait in line at which a job that will be late
 	// all the same takes nothing from others.
 	idleWait = 60 * time.Millisecond
+
+	// mostReserve is the greatest share of a job's time that it leaves to jobs
+	// of other ranks that were taken less often.
+	mostReserve = 0.3
+	// rankStep is how much less often jobs are taken than those of the next
+	// more urgent rank, where not all can be.
+	rankStep = 0.04
+	// takenGain is the weight of one job in the moving share of those taken: a
+	// second or two of a busy service.
+	takenGain = 0.01
+	ranks     = 10
 )
 
 // Ground is the reason of a verdict.
@@ -43,6 +50,40 @@
 	return grounds[g]
 }
 
+// taken is the moving share of jobs that a service did not keep from being
+// taken, by rank.
+type taken struct {
+	share [ranks]float64
+	seen  [ranks]bool
+}
+
+func rankOf(j *job.Job) int { return min(ranks-1, max(0, j.Rank)) }
+
+// note takes in whether a job was kept out by the service.
+func (t *taken) note(rank int, out bool) {
+	if !t.seen[rank] {
+		t.seen[rank], t.share[rank] = true, 1
+	}
+	value := 1.0
+	if out {
+		value = 0
+	}
+	t.share[rank] += takenGain * (value - t.share[rank])
+}
+
+// reserve is the share of its time that a job leaves to others: the more often
+// its rank is taken than the others, with a step from rank to rank, the more.
+func (t *taken) reserve(rank int) float64 {
+	worst := 0.0
+	for other := range ranks {
+		if t.seen[other] && other != rank {
+			ahead := t.share[rank] - t.share[other] + rankStep*float64(rank-other)
+			worst = max(worst, ahead)
+		}
+	}
+	return min(mostReserve, worst)
+}
+
 // Verdict says whether a job is taken.
 type Verdict struct {
 	Take   bool
@@ -52,45 +93,58 @@
 	After  time.Duration // when to come back, where the job is not taken
 }
 
-// Judge predicts when a job's stages would end if it were added now.
+// Judge predicts when a job's stages would end if it were added now, and
+// decides whether it is taken.
 func (q *Queue) Judge(j *job.Job, now time.Time) Verdict {
+	v, narrow := q.predict(j)
+	if narrow == nil {
+		return v
+	}
+	v.decide(j, narrow.taken.reserve(rankOf(j)), now)
+	for i, s := range j.Stages {
+		if l := q.line(s.Service); j.Open[i] > 0 {
+			l.taken.note(rankOf(j), !v.Take && l == narrow)
+		}
+	}
+	return v
+}
+
+// predict returns how long a job's stages would take, and the line in which it
+// would wait longest, or nil where a stage has no endpoint.
+func (q *Queue) predict(j *job.Job) (v Verdict, narrow *line) {
 	ends := make([]time.Duration, len(j.Stages))
-	var v Verdict
 	for i, s := range j.Stages {
-		var begin time.Duration
 		for _, a := range s.After {
-			begin = max(begin, ends[a])
+			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] = begin
 		if j.Open[i] > 0 {
 			l := q.line(s.Service)
 			if l.workers == 0 {
-				return Verdict{Ground: NoWorker, After: idleWait}
+				return Verdict{Ground: NoWorker, After: idleWait}, nil
 			}
-			wait := l.wait(begin)
-			v.Wait = max(v.Wait, wait)
-			ends[i] = begin + wait + l.turn() + l.callWith(j.Open[i])
+			wait := l.wait(ends[i])
+			if narrow == nil || wait > v.Wait {
+				v.Wait, narrow = wait, l
+			}
+			ends[i] += wait + l.turn() + l.callWith(j.Open[i])
 		}
 		v.Takes = max(v.Takes, ends[i])
 	}
-	return v.decide(j, now)
+	return v, narrow
 }
 
-func (v Verdict) decide(j *job.Job, now time.Time) Verdict {
+func (v *Verdict) decide(j *job.Job, reserve float64, now time.Time) {
 	left := j.Goal.Sub(now)
-	reserve := time.Duration(min(mostReserve, rankReserve*float64(j.Rank)) * float64(left))
+	short := v.Wait <= idleWait
 	switch {
-	case v.Takes <= left-reserve:
-		v.Take, v.Ground = true, InTime
-	case v.Takes <= left && v.Wait <= idleWait:
+	case v.Takes <= time.Duration((1-reserve)*float64(left)), short && v.Takes <= left:
 		v.Take, v.Ground = true, InTime
-	case v.Wait <= idleWait && v.Takes <= j.Deadline.Sub(now):
+	case short && v.Takes <= j.Deadline.Sub(now):
 		v.Take, v.Ground = true, Spare
 	default:
 		v.Ground = TooLate
 		v.After = max(idleWait, v.Wait/2)
 	}
-	return v
 }
 
 // wait predicts how long a piece that arrives after some time waits in line.
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -42,6 +42,7 @@
 	waiting int     // pieces in groups
 	coming  int     // pieces of admitted jobs whose earlier stages are not made
 	batched float64 // moving mean of the pieces in a call
+	taken   taken
 }
 
 // group is the pieces of one stage of one job that wait.
