--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -172,6 +172,8 @@
 	f.freeTaken(e)
 	if finished {
 		e.expires = time.Now().Add(max(f.keep(r.endpoint.Service), freeLimit))
+		f.log.V(1).Info("job done", "request", p.Job.Request, "took", time.Since(e.start).String(), "predicted", e.takes.String(),
+			"spare", time.Until(p.Job.Goal).String(), "faults", e.faults)
 		e.done <- nil
 	}
 }
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -51,6 +51,8 @@
 	faults  int
 	freed   []bool // stages whose results were given up
 	expires time.Time
+	start   time.Time
+	takes   time.Duration // predicted
 }
 
 var errEnded = errors.New("the job was ended")
@@ -103,7 +105,7 @@
 		bad.After = v.After
 		return nil, bad
 	}
-	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline}
+	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline, start: now, takes: v.Takes}
 	f.jobs[j.ID] = e
 	f.queue.Add(j)
 	f.dispatch(now)
