--- a/cmd/jacinthstiled/main.go
+++ b/cmd/jacinthstiled/main.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/command/logger"
 	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
+	"github.com/jacinthstile/jacinthstile/internal/watch/spool"
 	"github.com/jacinthstile/jacinthstile/platform"
 )
 
@@ -26,12 +27,13 @@
 	path := flag.String("settings", "", "settings file (JSON)")
 	onPlatform := flag.Bool("platform", false, "run on the users' platform, with the settings file that it names")
 	level := flag.String("log", "info", "log level on the platform: debug, info or error")
+	metrics := flag.Int("metrics", 0, "port of the metrics on the platform; 0 for none")
 	check := flag.Bool("check", false, "validate the settings and exit")
 	trace := flag.Bool("trace", false, "print where an error came from")
 	flag.Parse()
 	start := func() error { return run(*path, *check) }
 	if *onPlatform {
-		start = func() error { return runOnPlatform(*level, *check) }
+		start = func() error { return runOnPlatform(*level, *metrics, *check) }
 	}
 	if err := start(); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthstiled:", eris.ToString(err, *trace))
@@ -67,7 +69,7 @@
 	return eris.Wrap(d.Stop(ctx), "stopping")
 }
 
-func runOnPlatform(level string, check bool) error {
+func runOnPlatform(level string, metrics int, check bool) error {
 	s, err := platform.Load()
 	if err != nil {
 		return eris.Wrap(err, "loading settings")
@@ -80,7 +82,9 @@
 	defer stopSignals()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	p, cleanUp, err := platform.New(s, logger.New(os.Stdout, level))
+	lines, endLines := spool.New(os.Stdout)
+	defer endLines()
+	p, cleanUp, err := platform.New(s, metrics, logger.New(lines, level))
 	if err != nil {
 		return eris.Wrap(err, "starting")
 	}
--- a/internal/edge/proxy/answer.go
+++ b/internal/edge/proxy/answer.go
@@ -33,7 +33,9 @@
 
 // send sends the call to an endpoint and relays its answer.
 func (f *flight) send(ctx context.Context, lease *dispatcher.Lease, e *fleet.Endpoint) (bool, error) {
-	a, err := f.pool.Send(ctx, f.target(e, time.Until(f.call.Deadline)))
+	left := time.Until(f.call.Deadline)
+	a, err := f.pool.Send(ctx, f.target(e, left))
+	f.logSend(lease, e, left, a, err)
 	if err != nil {
 		lease.Done(board.Result{Kind: kindOf(err)})
 		f.tried = append(f.tried, lease.Endpoint.Name)
@@ -53,6 +55,18 @@
 	}
 }
 
+// logSend says what became of a send, up to the head of the answer.
+func (f *flight) logSend(lease *dispatcher.Lease, e *fleet.Endpoint, left time.Duration, a *upstream.Answer, err error) {
+	outcome, status, reused := "", 0, false
+	if err != nil {
+		outcome = err.Error()
+	} else {
+		outcome, status, reused = "answered", a.Status, a.Reused
+	}
+	f.log.Info("sent", "request", f.call.ID, "endpoint", e.ID, "state", e.State.String(), "send", f.sends, "left", left.String(),
+		"ground", lease.Ground, "after", time.Since(f.call.Received).String(), "status", status, "reused", reused, "outcome", outcome)
+}
+
 func (f *flight) report(lease *dispatcher.Lease, a *upstream.Answer) {
 	if l, ok := f.wire.Load(a.Header); ok {
 		f.dispatch.Report(lease, l)
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -247,7 +247,7 @@
 		refused.After = againAfter
 		return false, refused
 	}
-	f.log.V(1).Info("sending again", "request", f.call.ID, "reason", reason, "sends", f.sends)
+	f.log.Info("sending again", "request", f.call.ID, "reason", reason, "sends", f.sends)
 	return true, nil
 }
 
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -111,7 +111,7 @@
 			"attempt", a.Attempt, "endpoint", choice.Endpoint.Name, "reason", choice.Reason.String(),
 			"epoch", table.Epoch, "version", table.Version)
 	}
-	return &Lease{Endpoint: choice.Endpoint, Load: choice.Load, start: a.Query.Now, dispatcher: d}
+	return &Lease{Endpoint: choice.Endpoint, Load: choice.Load, Ground: choice.Reason.String(), start: a.Query.Now, dispatcher: d}
 }
 
 func weightOf(s *sheet.Sheet, account string) float64 {
--- a/internal/flow/dispatcher/lease.go
+++ b/internal/flow/dispatcher/lease.go
@@ -16,6 +16,7 @@
 type Lease struct {
 	Endpoint *endpoint.Endpoint
 	Load     float64 // load of the role when the endpoint was chosen, in calls for each slot
+	Ground   string  // why it was chosen, for logs
 
 	start      time.Time
 	dispatcher *Dispatcher
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -92,7 +92,7 @@
 
 func orderOf(r proxy.Round) gatherer.Order {
 	c := r.Call
-	o := gatherer.Order{ID: nameOf(r), Service: c.Service, Prompt: c.Prompt, Tried: r.Tried}
+	o := gatherer.Order{ID: nameOf(r), Request: c.ID, Service: c.Service, Prompt: c.Prompt, Tried: r.Tried}
 	if c.Staged() {
 		o.Job = job.New(o.ID, c.ID, c.Key, c.Route.Stages, c.Pieces, c.Rank, c.Goal, c.Deadline)
 	}
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -83,7 +83,7 @@
 }
 
 func decodeOrder(in *stagepb.Order, now time.Time) (gatherer.Order, error) {
-	o := gatherer.Order{ID: in.Id, Service: in.Service, Tried: in.Tried}
+	o := gatherer.Order{ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried}
 	for _, p := range in.Prompt {
 		o.Prompt = append(o.Prompt, call.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -144,7 +144,7 @@
 	if e == nil || e.job != p.Job || p.Job.Ended {
 		return
 	}
-	f.log.V(1).Info("piece not made", "request", p.Job.ID, "stage", p.Stage, "piece", p.Index, "endpoint", r.endpoint.ID,
+	f.log.Info("piece not made", "request", p.Job.Request, "stage", p.Stage, "piece", p.Index, "endpoint", r.endpoint.ID,
 		"reason", o.Reason.String())
 	if e.faults++; e.faults > mostFaults || o.Reason == maker.Late && !now.Before(p.Job.Deadline) {
 		f.giveUp(e, fault.New(code.NoTime, "a piece of stage %d was not made: %s", p.Stage, o.Reason))
@@ -172,7 +172,7 @@
 	f.freeTaken(e)
 	if finished {
 		e.expires = time.Now().Add(max(f.keep(r.endpoint.Service), freeLimit))
-		f.log.V(1).Info("job done", "request", p.Job.Request, "took", time.Since(e.start).String(), "predicted", e.takes.String(),
+		f.log.Info("job done", "request", p.Job.Request, "took", time.Since(e.start).String(), "predicted", e.takes.String(),
 			"spare", time.Until(p.Job.Goal).String(), "faults", e.faults)
 		e.done <- nil
 	}
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -98,7 +98,7 @@
 	}
 	f.refresh(j)
 	v := f.queue.Judge(j, now)
-	f.log.V(1).Info("job judged", "request", j.ID, "take", v.Take, "ground", v.Ground.String(), "takes", v.Takes.String(),
+	f.log.Info("job judged", "request", j.Request, "take", v.Take, "ground", v.Ground.String(), "takes", v.Takes.String(),
 		"wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
 	if !v.Take {
 		bad := fault.New(refusal(v.Ground), "stages: %s, they would take %s of %s", v.Ground, v.Takes, j.Goal.Sub(now))
@@ -174,7 +174,7 @@
 
 // giveUp ends a job that cannot be done.
 func (f *Foreman) giveUp(e *entry, bad *fault.Fault) {
-	f.log.V(1).Info("job given up", "request", e.job.ID, "reason", bad.Error())
+	f.log.Info("job given up", "request", e.job.Request, "reason", bad.Error())
 	e.done <- bad
 	f.end(e)
 }
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -29,6 +29,7 @@
 type Order struct {
 	Job     *job.Job // nil where the request has no stages; its times are those of the request
 	ID      string
+	Request string // id of the request
 	Service string // of the engine; empty where none is wanted
 	Prompt  []call.Part
 	Tried   []string // engines that failed the request
@@ -97,7 +98,7 @@
 		return r
 	}
 	r.Engine = choice.Engine.Name()
-	g.log.V(1).Info("engine chosen", "request", o.ID, "engine", choice.Engine.ID, "unread", choice.Unread, "total", choice.Total,
+	g.log.Info("engine chosen", "request", o.Request, "engine", choice.Engine.ID, "unread", choice.Unread, "total", choice.Total,
 		"pending", choice.Pending, "running", choice.Running, "cost", int(choice.Cost))
 	return r
 }
--- /dev/null
+++ b/internal/watch/spool/spool_test.go
@@ -0,0 +1,116 @@
+package spool_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/watch/spool"
+)
+
+// sink collects what is written, and can be stuck.
+type sink struct {
+	mu   sync.Mutex
+	buf  bytes.Buffer
+	gate chan struct{} // nil while it reads
+}
+
+func (s *sink) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(b)
+}
+
+func (s *sink) lines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Split(strings.TrimSuffix(s.buf.String(), "\n"), "\n")
+}
+
+// TestVolumeIsBounded logs ten times the lines that the bound allows: no more
+// are written, and what was left out is counted.
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := new(sink)
+		s, end := spool.New(out)
+		const seconds = 5
+		for i := range 10 * spool.PerSecond * seconds {
+			fmt.Fprintf(s, "line %d\n", i)
+			time.Sleep(time.Second / (10 * spool.PerSecond))
+		}
+		time.Sleep(2 * time.Second)
+		end()
+		written, told := 0, 0
+		for _, line := range out.lines() {
+			var n int
+			if _, rest, ok := strings.Cut(line, `"lines":`); ok {
+				_, err := fmt.Sscan(rest[:strings.Index(rest, ",")], &n)
+				g.Expect(err).NotTo(HaveOccurred())
+				told += n
+				continue
+			}
+			written++
+		}
+		g.Expect(written).To(BeNumerically("<=", spool.PerSecond*(seconds+1)))
+		g.Expect(written).To(BeNumerically(">=", spool.PerSecond*(seconds-1)))
+		g.Expect(written + told).To(Equal(10 * spool.PerSecond * seconds))
+	})
+}
+
+// TestStuckReaderHoldsNobodyUp logs to a reader that stops reading.
+func TestStuckReaderHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := &sink{gate: make(chan struct{})}
+		s, end := spool.New(out)
+		start := time.Now()
+		for range 100 {
+			for range 100 {
+				io.WriteString(s, "line\n")
+			}
+			time.Sleep(time.Second)
+		}
+		g.Expect(time.Since(start)).To(Equal(100 * time.Second))
+		out.mu.Lock()
+		close(out.gate)
+		out.gate = nil
+		out.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		end()
+		all := out.lines()
+		g.Expect(len(all)).To(BeNumerically("<", 10000))
+		g.Expect(all).To(ContainElement(ContainSubstring("log lines left out")))
+	})
+}
+
+func TestLongLinesAreCut(t *testing.T) {
+	out := new(sink)
+	s, end := spool.New(out)
+	fmt.Fprintln(s, strings.Repeat("x", 1<<20))
+	end()
+	NewWithT(t).Expect(len(out.lines()[0])).To(BeNumerically("<", 1<<13))
+}
+
+func TestWaitingLinesAreWrittenAtTheEnd(t *testing.T) {
+	out := new(sink)
+	s, end := spool.New(out)
+	for i := range 100 {
+		fmt.Fprintln(s, i)
+	}
+	end()
+	NewWithT(t).Expect(out.lines()).To(HaveLen(100))
+}
