Pass the proof that the store has not changed from the gathering instance to the others

Now an instance that hears from the one that gathers, every 0.3 s, that the revision it knows was the newest takes over that proof, with the moment at which it asked less the age that it was told, by its own boot clock; it calls the store only for a change, or where it hears of none for 1.5 s. Tests: follower with a witness, with an old one, and through a hundred registrations.

--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
+	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 )
 
 const (
@@ -25,6 +27,8 @@
 	watchMargin = 900 * time.Millisecond  // beyond the wait, for a store that is slow
 	probeWait   = time.Millisecond        // of the first watch after a failure, for a proof at once
 	listLimit   = 3 * time.Second         // of a whole list, in pages
+	watchGap    = 250 * time.Millisecond  // least time between two watches while changes come one after the other
+	trusted     = 1500 * time.Millisecond // age up to which a witness's proof stands in for a watch of its own
 	leastPause  = 100 * time.Millisecond  // before the store is asked again after a failure
 	mostPause   = 500 * time.Millisecond
 )
@@ -32,23 +36,32 @@
 // Follower follows one source. Run is called once.
 type Follower struct {
 	source  Source
+	witness *witness.Witness
 	proof   *proof.Proof
 	fleet   *fleet.Fleet
 	publish func(*catalog.Catalog)
 	log     logr.Logger
 
-	version uint64    // of the catalog in force
-	at      uint64    // revision up to which changes are known
-	listed  bool      // whether at stands for a whole list
-	lost    bool      // whether the last call failed
-	since   time.Time // of the loss
+	asked   time.Duration // when the source was last asked, by the proof's clock
+	version uint64        // of the catalog in force
+	at      uint64        // revision up to which changes are known
+	known   atomic.Uint64 // the same, for others
+	listed  bool          // whether at stands for a whole list
+	lost    bool          // whether the last call failed
+	since   time.Time     // of the loss
 }
 
-// New returns a follower that hands each catalog in force to publish.
-func New(s Source, p *proof.Proof, f *fleet.Fleet, publish func(*catalog.Catalog), log logr.Logger) *Follower {
-	return &Follower{source: s, proof: p, fleet: f, publish: publish, log: log}
+// New returns a follower that hands each catalog in force to publish. While
+// the witness's proofs are young it only asks the source for changes of which
+// the witness knows.
+func New(s Source, w *witness.Witness, p *proof.Proof, f *fleet.Fleet, publish func(*catalog.Catalog), log logr.Logger) *Follower {
+	return &Follower{source: s, witness: w, proof: p, fleet: f, publish: publish, log: log}
 }
 
+// Revision returns the revision up to which changes are known, once all before
+// it are.
+func (f *Follower) Revision() uint64 { return f.known.Load() }
+
 // Run follows the source until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	wait := leastPause
@@ -69,7 +82,17 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	err := f.watch(ctx)
+	wait := watchWait
+	switch revision, at, ok := f.witness.Last(); {
+	case !ok || f.proof.Now()-at > trusted || f.lost:
+	case revision <= f.at:
+		f.proof.Renew(at)
+		f.idle(ctx)
+		return nil
+	default:
+		wait = probeWait // the change is there already
+	}
+	err := f.watch(ctx, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.log.Info("history lost, listing again", "revision", f.at)
 		f.listed = false
@@ -78,6 +101,17 @@
 	return err
 }
 
+// idle waits for the witness's next proof, or until its last one is old.
+func (f *Follower) idle(ctx context.Context) {
+	timer := time.NewTimer(trusted)
+	defer timer.Stop()
+	select {
+	case <-f.witness.News():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
@@ -98,18 +132,20 @@
 	f.fleet.Sync(endpoints, time.Now())
 	f.log.Info("store listed", "revision", at, "endpoints", len(endpoints))
 	f.at, f.listed = at, true
+	f.known.Store(at)
 	f.proof.Renew(asked)
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) error {
-	wait := watchWait
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
 	if f.lost {
 		wait = probeWait
 	}
+	pause.For(ctx, f.asked+watchGap-f.proof.Now())
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	asked := f.proof.Now()
+	f.asked = asked
 	changes, at, err := f.source.Watch(ctx, f.at, wait)
 	if err != nil {
 		return err
@@ -119,6 +155,7 @@
 		f.apply(c)
 	}
 	f.at = max(f.at, at)
+	f.known.Store(f.at)
 	// An answer without changes was given when the wait was over.
 	if len(changes) == 0 && f.proof.Now()-asked >= wait {
 		asked += wait
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
 	"github.com/jacinthstile/jacinthstile/internal/edge/follower"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
+	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 )
 
 // state is what is wrong with the store.
@@ -135,6 +136,7 @@
 type world struct {
 	store   *store
 	proof   *proof.Proof
+	witness *witness.Witness
 	version atomic.Uint64
 	index   atomic.Pointer[fleet.Index]
 }
@@ -148,11 +150,11 @@
 func play(t *testing.T, f func(g *WithT, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		w := &world{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}}
+		w := &world{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}, witness: witness.New()}
 		w.proof = proof.New(func() time.Duration { return time.Since(start) + time.Hour })
 		members := fleet.New(func(all []*fleet.Endpoint) { w.index.Store(fleet.NewIndex(all)) })
 		ctx, cancel := context.WithCancel(t.Context())
-		f2 := follower.New(w.store, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
+		f2 := follower.New(w.store, w.witness, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -248,3 +250,58 @@
 		g.Expect(w.version.Load()).To(Equal(uint64(1)))
 	})
 }
+
+// TestWitnessSparesCalls has another instance prove that nothing changed: no
+// call is made until it knows of a change, and the proof stays young.
+func TestWitnessSparesCalls(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		revision := uint64(0)
+		hear := func(n int) {
+			for range n {
+				w.witness.Hear(revision, w.proof.Now()-200*time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
+				g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+			}
+		}
+		hear(10) // a watch of its own may have been under way
+		before := w.store.calls.Load()
+		hear(60)
+		g.Expect(w.store.calls.Load()).To(Equal(before))
+		w.store.publish(2)
+		revision = 1
+		hear(2)
+		g.Expect(w.version.Load()).To(Equal(uint64(2)))
+		g.Expect(w.store.calls.Load()).To(BeNumerically("<=", before+2))
+		time.Sleep(5 * time.Second)
+		g.Expect(w.proof.Within(revoke/2)).To(BeTrue(), "without a witness it asks for itself")
+	})
+}
+
+// TestOldProofsOfAWitnessGrantNothing cuts this instance off from the store,
+// with a witness that is cut off as well.
+func TestOldProofsOfAWitnessGrantNothing(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.set(silent)
+		at := w.proof.Now()
+		for range 30 {
+			w.witness.Hear(0, at)
+			time.Sleep(300 * time.Millisecond)
+		}
+		g.Expect(w.proof.Within(revoke)).To(BeFalse())
+	})
+}
+
+// TestManyChangesTakeFewCalls registers endpoints one after the other, as at
+// the start of a fleet.
+func TestManyChangesTakeFewCalls(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		before := w.store.calls.Load()
+		for i := range 100 {
+			w.store.register(fmt.Sprint("n", i), true)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(w.uses("n99")).To(BeTrue())
+		g.Expect(w.store.calls.Load() - before).To(BeNumerically("<=", 12))
+	})
+}
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -12,7 +12,9 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/gatherer"
@@ -28,6 +30,9 @@
 	election *election.Election
 	mesh     *mesh.Mesh
 	fit      func() bool
+	proof    *proof.Proof
+	witness  *witness.Witness
+	revision func() uint64 // up to which this instance knows the store
 	log      logr.Logger
 
 	asked sync.Map // addresses with a question under way
@@ -41,13 +46,20 @@
 
 var _ proxy.Stager = (*Desk)(nil)
 
-// New returns a desk of the instance that peers reach at address self. The
-// function says whether this instance can gather for others. It registers the
-// desk's handlers with the mesh.
-func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, fit func() bool, log logr.Logger) *Desk {
+// State is what instances tell each other of themselves.
+type State struct {
+	Fit      func() bool // whether this instance can gather for others
+	Proof    *proof.Proof
+	Revision func() uint64    // up to which this instance knows the store
+	Witness  *witness.Witness // is told the proofs of the instance that gathers
+}
+
+// New returns a desk of the instance that peers reach at address self. It
+// registers the desk's handlers with the mesh.
+func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, s State, log logr.Logger) *Desk {
 	d := &Desk{
-		self: self, local: local, election: e, mesh: m, fit: fit, log: log, remotes: make(map[string]*remote),
-		begun: make(chan struct{}),
+		self: self, local: local, election: e, mesh: m, fit: s.Fit, proof: s.Proof, witness: s.Witness, revision: s.Revision,
+		log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
 	}
 	d.settled = sync.OnceFunc(func() { close(d.begun) })
 	d.handle()
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -66,12 +66,16 @@
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	roll := new(stagepb.Roll)
+	asked := d.proof.Now()
 	if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
 		d.election.Failed(address)
 		return
 	}
 	now := time.Now()
 	d.election.Answered(address, decodeRoll(roll, now), now)
+	if roll.Revision > 0 && d.election.Leader(now) == address {
+		d.witness.Hear(roll.Revision, asked-time.Duration(roll.ProofMs)*time.Millisecond)
+	}
 }
 
 // follow notes a change of the instance that gathers, and gives up what was
@@ -83,6 +87,7 @@
 	if leader != d.leader {
 		d.log.Info("following another gathering instance", "leader", leader, "before", d.leader)
 		d.leader = leader
+		d.witness.Forget()
 	}
 	for address, r := range d.remotes {
 		if r.open.Load() > 0 && d.election.Silent(address, now) {
@@ -108,6 +113,10 @@
 // roll is what this instance tells others.
 func (d *Desk) roll(now time.Time) *stagepb.Roll {
 	roll := new(stagepb.Roll)
+	if age, ok := d.proof.Age(); ok {
+		roll.Revision = d.revision()
+		roll.ProofMs = uint32(age.Milliseconds()) + 1
+	}
 	for _, c := range d.election.Tell(now) {
 		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
 			Address: c.Address, Power: uint32(c.Power), AgeMs: uint32(now.Sub(c.Heard).Milliseconds()), Fit: c.Fit, Since: c.Since,
