--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -146,7 +146,10 @@
 	}
 	f.log.Info("piece not made", "request", p.Job.Request, "stage", p.Stage, "piece", p.Index, "endpoint", r.endpoint.ID,
 		"reason", o.Reason.String())
-	if e.faults++; e.faults > mostFaults || o.Reason == maker.Late && !now.Before(p.Job.Deadline) {
+	if o.Reason == maker.Fault {
+		e.faults++
+	}
+	if e.faults > mostFaults || o.Reason == maker.Late && !now.Before(p.Job.Deadline) {
 		f.giveUp(e, fault.New(code.NoTime, "a piece of stage %d was not made: %s", p.Stage, o.Reason))
 		return
 	}
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -42,6 +42,7 @@
 	jobs    map[string]*entry
 	workers map[string]*worker // by name of the endpoint
 	running map[*running]struct{}
+	frees   int // calls that free results, waiting or under way
 }
 
 // entry is one job with who waits for it.
@@ -201,6 +202,13 @@
 	return len(f.jobs)
 }
 
+// Idle reports whether no job is under way and no result is still to be freed.
+func (f *Foreman) Idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.jobs) == 0 && f.frees == 0
+}
+
 // Run looks after late calls and expired jobs until the context ends.
 func (f *Foreman) Run(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
--- a/internal/stage/foreman/foreman_test.go
+++ b/internal/stage/foreman/foreman_test.go
@@ -305,3 +305,47 @@
 		g.Expect(fault.From(err).After).To(BeNumerically(">", 0))
 	})
 }
+
+// TestNoRoomIsNoFailure has an endpoint without room for any result: the
+// pieces wait or go elsewhere, however many they are.
+func TestNoRoomIsNoFailure(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		until := time.Now().Add(500 * time.Millisecond)
+		w.shop.trouble = func(_ *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error, bool) {
+			o := make([]maker.Outcome, len(items))
+			for i := range o {
+				o[i].Reason = maker.Room
+			}
+			return o, nil, time.Now().Before(until)
+		}
+		succeed(g, w.prepare(w.job(18, 1, 3*time.Second)))
+	})
+}
+
+// TestIdleMeansFreed checks that a foreman is not idle while results are still
+// to be freed, so that a process that ends leaves none behind.
+func TestIdleMeansFreed(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		j := w.job(2, 2, 2*time.Second)
+		_, err := w.Prepare(context.Background(), j)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.Release(j.ID)
+		g.Expect(w.Jobs()).To(BeZero())
+		g.Expect(w.Idle()).To(BeFalse())
+		for !w.Idle() {
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(w.shop.left()).To(BeZero())
+	})
+}
+
+// TestNoTimeIsRefusedAtOnce has a caller that returns when its time is nearly over.
+func TestNoTimeIsRefusedAtOnce(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		j := w.job(1, 1, 3*time.Second)
+		now := time.Now()
+		short := job.New(j.ID, j.ID, j.Key, j.Stages, j.Pieces, 1, now.Add(3*time.Second), now.Add(300*time.Millisecond))
+		g.Expect(fault.From(w.prepare(short)[0]).Code).To(Equal(code.Overloaded))
+		g.Expect(time.Since(now)).To(BeZero())
+	})
+}
--- a/internal/stage/foreman/free.go
+++ b/internal/stage/foreman/free.go
@@ -66,6 +66,7 @@
 		return
 	}
 	w.freeing = true
+	f.frees++
 	time.AfterFunc(freeEvery, func() { f.flush(e, w) })
 }
 
@@ -87,6 +88,7 @@
 func (f *Foreman) freed(w *worker, size int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.frees--
 	w.held -= size
 	f.dispatch(time.Now())
 }
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -19,7 +19,7 @@
 	Stages   []catalog.Stage
 	Pieces   []int     // wanted of each stage
 	Rank     int       // zero is the most urgent
-	Goal     time.Time // until when the stages should end, so that the request is on time
+	Goal     time.Time // until when the stages should end, so that the request is on time; not after Deadline
 	Deadline time.Time // from when on nobody waits for the request
 	Wanted   string    // data centre in which the results of the first stages are wanted; empty for any
 
@@ -40,7 +40,7 @@
 // New prepares a job of which nothing is made.
 func New(id, request, key string, stages []catalog.Stage, pieces []int, rank int, goal, deadline time.Time) *Job {
 	j := &Job{
-		ID: id, Request: request, Key: key, Stages: stages, Pieces: pieces, Rank: rank, Goal: goal, Deadline: deadline,
+		ID: id, Request: request, Key: key, Stages: stages, Pieces: pieces, Rank: rank, Goal: earlier(goal, deadline), Deadline: deadline,
 		Made: make([][]Result, len(stages)), Open: make([]int, len(stages)), Started: make([]bool, len(stages)),
 	}
 	for i := range stages {
@@ -50,6 +50,13 @@
 	return j
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Ready reports whether the stages before stage i are made.
 func (j *Job) Ready(i int) bool {
 	for _, a := range j.Stages[i].After {
--- a/internal/watch/spool/spool.go
+++ b/internal/watch/spool/spool.go
@@ -17,7 +17,7 @@
 const (
 	// PerSecond is the number of lines that are taken in a second: several for
 	// each of some hundred requests.
-	PerSecond = 600
+	PerSecond = 1000
 	mostHeld  = 1024     // lines that wait to be written
 	mostLine  = 4 << 10  // bytes of a line; the rest is cut off
 	mostWrite = 64 << 10 // bytes of one write
