--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -29,7 +29,7 @@
 	local    *gatherer.Gatherer
 	election *election.Election
 	mesh     *mesh.Mesh
-	fit      func() bool
+	fit      func() (fit, doubt bool)
 	proof    *proof.Proof
 	witness  *witness.Witness
 	revision func() uint64 // up to which this instance knows the store
@@ -48,7 +48,9 @@
 
 // State is what instances tell each other of themselves.
 type State struct {
-	Fit      func() bool // whether this instance can gather for others
+	// Fit says whether this instance can gather for others, and whether others
+	// may be better placed.
+	Fit      func() (fit, doubt bool)
 	Proof    *proof.Proof
 	Revision func() uint64    // up to which this instance knows the store
 	Witness  *witness.Witness // is told the proofs of the instance that gathers
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -27,7 +27,7 @@
 	tick := time.NewTicker(askSoon)
 	defer tick.Stop()
 	for {
-		d.election.SetFit(d.fit())
+		d.election.SetState(d.fit())
 		d.askAll(ctx)
 		d.follow(time.Now())
 		if d.follows() || time.Since(start) > settle {
@@ -120,6 +120,7 @@
 	for _, c := range d.election.Tell(now) {
 		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
 			Address: c.Address, Power: uint32(c.Power), AgeMs: uint32(now.Sub(c.Heard).Milliseconds()), Fit: c.Fit, Since: c.Since,
+			Doubt: c.Doubt,
 		})
 	}
 	return roll
@@ -129,7 +130,7 @@
 	list := make([]election.Candidate, 0, len(roll.Candidates))
 	for _, c := range roll.Candidates {
 		list = append(list, election.Candidate{
-			Address: c.Address, Power: int(c.Power), Fit: c.Fit, Since: c.Since,
+			Address: c.Address, Power: int(c.Power), Fit: c.Fit, Since: c.Since, Doubt: c.Doubt,
 			Heard: now.Add(-bounded(time.Duration(c.AgeMs) * time.Millisecond)),
 		})
 	}
--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -33,6 +33,7 @@
 	Power   int       // thousandths of a core
 	Since   int64     // start of its process, by its own clock, in milliseconds of the Unix epoch
 	Fit     bool      // whether it says that it can gather
+	Doubt   bool      // whether it says that others may be better placed
 	Heard   time.Time // when anybody last heard it
 }
 
@@ -45,12 +46,11 @@
 // Election is what one instance knows of the candidates. It is safe for
 // concurrent use.
 type Election struct {
-	self  Candidate
 	seeds []string
 
 	mu    sync.Mutex
+	self  Candidate
 	known map[string]*record
-	fit   bool
 }
 
 // New returns an election for an instance that knows the addresses of some others.
@@ -58,11 +58,12 @@
 	return &Election{self: self, seeds: seeds, known: make(map[string]*record)}
 }
 
-// SetFit sets whether this instance can gather for others.
-func (e *Election) SetFit(fit bool) {
+// SetState sets whether this instance can gather for others, and whether
+// others may be better placed, which matters only where some are.
+func (e *Election) SetState(fit, doubt bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fit = fit
+	e.self.Fit, e.self.Doubt = fit, doubt
 }
 
 // Answered records what a candidate said of itself and of others.
@@ -111,7 +112,7 @@
 func (e *Election) Leader(now time.Time) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	best, found := e.self, e.fit
+	best, found := e.self, e.self.Fit
 	for _, r := range e.known {
 		if !r.Fit || r.failed || now.Sub(r.answered) > Silence {
 			continue
@@ -156,7 +157,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	self := e.self
-	self.Fit, self.Heard = e.fit, now
+	self.Heard = now
 	list := []Candidate{self}
 	for _, c := range e.best(now) {
 		if len(list) < Most {
@@ -187,10 +188,13 @@
 	return list
 }
 
-// before is the order in which all instances follow candidates: those with the
-// most processor first, and among them the one that has run longest, so that
+// before is the order in which all instances follow candidates: those without
+// doubt first, then those with the most processor, and among them the one that has run longest, so that
 // restarts in turn change the leader as seldom as can be. All go by the same
 // figures, so clocks that differ do not make two orders.
 func before(a, b Candidate) bool {
+	if a.Doubt != b.Doubt {
+		return b.Doubt
+	}
 	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Since, b.Since), cmp.Compare(a.Address, b.Address)) < 0
 }
--- a/internal/stage/election/election_test.go
+++ b/internal/stage/election/election_test.go
@@ -21,6 +21,7 @@
 	address string
 	up      bool
 	stopped bool // up, and no longer fit
+	doubt   bool
 }
 
 // fleet plays instances that ask each other in rounds.
@@ -65,7 +66,7 @@
 			if !in.up {
 				continue
 			}
-			in.SetFit(!in.stopped)
+			in.SetState(!in.stopped, in.doubt)
 			before := in.Leader(f.now)
 			for _, address := range in.Ask(nil, f.now) {
 				to := f.find(address)
@@ -168,7 +169,7 @@
 	g := NewWithT(t)
 	e := election.New(election.Candidate{Address: "b", Since: 2}, []string{"a"})
 	now := time.Unix(1000, 0)
-	e.SetFit(true)
+	e.SetState(true, false)
 	g.Expect(e.Leader(now)).To(Equal("b"))
 	e.Answered("a", []election.Candidate{{Address: "a", Since: 1, Fit: true, Heard: now}}, now)
 	g.Expect(e.Leader(now)).To(Equal("a"))
@@ -178,3 +179,19 @@
 	e.Answered("a", []election.Candidate{{Address: "a", Since: 1, Heard: now.Add(time.Second)}}, now.Add(time.Second))
 	g.Expect(e.Leader(now.Add(time.Second))).To(Equal("b"), "it says that it cannot gather")
 }
+
+// TestDoubtMattersOnlyWhereSomeAreBetter cuts the leader off from the store,
+// and then takes the store away from all.
+func TestDoubtMattersOnlyWhereSomeAreBetter(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5)
+	f.run(6)
+	f.instances[0].doubt = true
+	f.run(4)
+	g.Expect(f.leaders()).To(Equal(map[string]int{"i1": 5}))
+	for _, in := range f.instances {
+		in.doubt = true
+	}
+	f.run(4)
+	g.Expect(f.leaders()).To(Equal(map[string]int{"i0": 5}), "one gathers, though nobody hears of the store")
+}
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -180,9 +180,9 @@
 	f.end(e)
 }
 
-// Fit reports whether this instance reaches the endpoints that make pieces:
+// Reaches reports whether this instance reaches the endpoints that make pieces:
 // fewer than half of them rest after failures.
-func (f *Foreman) Fit() bool {
+func (f *Foreman) Reaches() bool {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
