--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -32,6 +32,7 @@
 		d.follow(time.Now())
 		if d.follows() || time.Since(start) > settle {
 			d.settled()
+			d.election.Claim(time.Now())
 			tick.Reset(askEvery)
 		}
 		select {
@@ -120,7 +121,7 @@
 	for _, c := range d.election.Tell(now) {
 		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
 			Address: c.Address, Power: uint32(c.Power), AgeMs: uint32(now.Sub(c.Heard).Milliseconds()), Fit: c.Fit, Since: c.Since,
-			Doubt: c.Doubt,
+			Doubt: c.Doubt, Leads: c.Leads,
 		})
 	}
 	return roll
@@ -130,7 +131,7 @@
 	list := make([]election.Candidate, 0, len(roll.Candidates))
 	for _, c := range roll.Candidates {
 		list = append(list, election.Candidate{
-			Address: c.Address, Power: int(c.Power), Fit: c.Fit, Since: c.Since, Doubt: c.Doubt,
+			Address: c.Address, Power: int(c.Power), Fit: c.Fit, Since: c.Since, Doubt: c.Doubt, Leads: c.Leads,
 			Heard: now.Add(-bounded(time.Duration(c.AgeMs) * time.Millisecond)),
 		})
 	}
--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -32,6 +32,7 @@
 	Address string
 	Power   int       // thousandths of a core
 	Since   int64     // start of its process, by its own clock, in milliseconds of the Unix epoch
+	Leads   int64     // when it began to gather for others, likewise; zero while it does not
 	Fit     bool      // whether it says that it can gather
 	Doubt   bool      // whether it says that others may be better placed
 	Heard   time.Time // when anybody last heard it
@@ -124,6 +125,21 @@
 	return best.Address
 }
 
+// Claim has this instance say that it gathers, from the given time on, while it
+// follows itself. It keeps an earlier claim. Others then follow it as long as it
+// can gather, so that the work moves as seldom as can be.
+func (e *Election) Claim(now time.Time) {
+	leads := e.Leader(now) == e.self.Address
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case !leads:
+		e.self.Leads = 0
+	case e.self.Leads == 0:
+		e.self.Leads = now.UnixMilli()
+	}
+}
+
 // Silent reports whether a candidate has not answered for so long that what
 // was asked of it is given up.
 func (e *Election) Silent(address string, now time.Time) bool {
@@ -189,12 +205,17 @@
 }
 
 // before is the order in which all instances follow candidates: those without
-// doubt first, then those with the most processor, and among them the one that has run longest, so that
-// restarts in turn change the leader as seldom as can be. All go by the same
+// doubt first, then those with the most processor, then the one that gathers
+// already. Where none does, the one that started last is the least likely to be
+// restarted next, where instances are restarted in turn. All go by the same
 // figures, so clocks that differ do not make two orders.
 func before(a, b Candidate) bool {
 	if a.Doubt != b.Doubt {
 		return b.Doubt
 	}
-	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Since, b.Since), cmp.Compare(a.Address, b.Address)) < 0
+	if (a.Leads == 0) != (b.Leads == 0) && a.Power == b.Power {
+		return a.Leads != 0
+	}
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Leads, b.Leads), cmp.Compare(b.Since, a.Since),
+		cmp.Compare(a.Address, b.Address)) < 0
 }
