--- a/internal/stage/queue/fill.go
+++ b/internal/stage/queue/fill.go
@@ -15,7 +15,10 @@
 	// homePatience is the number of calls that pieces wait for, over the workers
 	// in the data centre of their inputs, before they go to another one.
 	homePatience = 2
-	least        = 1 // pieces that a call is assumed to hold at least
+	// homeBacklog is the share of a full call that waits from which on no
+	// endpoint is left idle for the sake of another one's place.
+	homeBacklog = 1.0
+	least       = 1 // pieces that a call is assumed to hold at least
 )
 
 // Worker is a free endpoint of a service.
@@ -64,13 +67,14 @@
 func (q *Queue) order(l *line, w Worker, now time.Time) []ranked {
 	list := make([]ranked, 0, len(l.groups))
 	usual := l.call()
+	calm := float64(l.waiting) < homeBacklog*float64(l.batch.Most)
 	slow := time.Duration(w.Slow*float64(usual)) - usual
 	for _, g := range l.groups {
 		spare := g.job.Goal.Sub(now) - usual - q.rest(g.job, g.stage)
 		if spare >= 0 && spare < slow && l.workers > 1 {
 			continue // another worker can still make it in time
 		}
-		if g.home != w.Centre && l.centres[g.home] > 0 && spare > l.turnIn(g.home) {
+		if calm && g.home != w.Centre && l.centres[g.home] > 0 && spare > l.turnIn(g.home) {
 			continue // a worker beside its inputs should be free in time
 		}
 		list = append(list, ranked{group: g, spare: spare})
