--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -141,8 +141,8 @@
 		return
 	}
 	r.worker.held -= size
-	if e == nil || e.job != p.Job || p.Job.Ended {
-		return
+	if e == nil || e.job != p.Job || p.Job.Ended || p.Job.Made[p.Stage][p.Index].Handle != "" {
+		return // nobody waits for it, or another call made it
 	}
 	f.log.Info("piece not made", "request", p.Job.Request, "stage", p.Stage, "piece", p.Index, "endpoint", r.endpoint.ID,
 		"reason", o.Reason.String())
--- a/internal/stage/foreman/foreman_test.go
+++ b/internal/stage/foreman/foreman_test.go
@@ -349,3 +349,27 @@
 		g.Expect(time.Since(now)).To(BeZero())
 	})
 }
+
+// TestLateOutcomeOfAPieceMadeElsewhere has a call that hangs, so that its
+// pieces are made elsewhere and their inputs are freed. When it ends all the
+// same it finds the inputs gone: that is no reason to make anything again.
+func TestLateOutcomeOfAPieceMadeElsewhere(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.index = fleet.NewIndex([]*fleet.Endpoint{
+			{ID: "a", Service: "first", Address: "a:1", State: fleet.Ready},
+			{ID: "c", Service: "second", Address: "c:1", State: fleet.Ready},
+			{ID: "d", Service: "second", Address: "d:1", State: fleet.Ready},
+		})
+		w.shop.slow["c"] = 2 * time.Second
+		now := time.Now()
+		stages := []catalog.Stage{
+			{Service: "first", Bytes: 1}, {Service: "second", After: []int{0}, Bytes: 1}, {Service: "first", After: []int{1}, Bytes: 1},
+		}
+		j := job.New("j", "j", "key", stages, []int{2, 10, 100}, 1, now.Add(9*time.Second), now.Add(12*time.Second))
+		_, err := w.Prepare(context.Background(), j)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * time.Second)
+		g.Expect(w.shop.calls).To(Equal([]int{2, 10, 10, 20, 20, 20, 20, 20}))
+		w.Release(j.ID)
+	})
+}
