--- a/internal/bench/gathering/model.go
+++ b/internal/bench/gathering/model.go
@@ -135,10 +135,10 @@
 }
 
 func (m *model) addWorkers(s *Service) {
-	centres := make(map[string]int)
+	centres := make(map[string]float64)
 	for centre, n := range s.Workers {
 		name := fmt.Sprint("c", centre)
-		centres[name] = n
+		centres[name] = float64(n)
 		for i := range n {
 			m.workers = append(m.workers, &worker{
 				service: s, centre: name, name: fmt.Sprint(s.Name, centre, i), rests: make(map[int]time.Duration), asked: make(map[int]bool),
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
@@ -172,11 +173,14 @@
 		f.discard(result)
 		return
 	}
+	if p.Job.Open[p.Stage] == 0 {
+		e.ends = append(e.ends, fmt.Sprintf("%s %s %s", r.endpoint.Service, time.Since(e.start).Round(time.Millisecond), r.endpoint.ID))
+	}
 	f.freeTaken(e)
 	if finished {
 		e.expires = time.Now().Add(max(f.keep(r.endpoint.Service), freeLimit))
 		f.log.Info("job done", "request", p.Job.Request, "took", time.Since(e.start).String(), "predicted", e.takes.String(),
-			"spare", time.Until(p.Job.Goal).String(), "faults", e.faults)
+			"spare", time.Until(p.Job.Goal).String(), "faults", e.faults, "stages", e.ends)
 		e.done <- nil
 	}
 }
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -54,6 +54,7 @@
 	expires time.Time
 	start   time.Time
 	takes   time.Duration // predicted
+	ends    []string      // of each stage: its service, when its last piece was made since the start, and by whom
 }
 
 var errEnded = errors.New("the job was ended")
@@ -133,11 +134,11 @@
 	if s == nil || s.Batch == nil {
 		return nil
 	}
-	usable := make(map[string]int)
+	usable := make(map[string]float64)
 	now := time.Now()
 	for _, e := range f.fleet().Of(name) {
-		if !f.worker(e).failing(now) {
-			usable[e.Centre] += s.Batch.Calls
+		if w := f.worker(e); !w.failing(now) {
+			usable[e.Centre] += float64(s.Batch.Calls) / w.factor(now)
 		}
 	}
 	f.queue.Service(name, *s.Batch, usable)
--- a/internal/stage/queue/admit.go
+++ b/internal/stage/queue/admit.go
@@ -155,13 +155,13 @@
 // wait predicts how long a piece that arrives after some time waits in line.
 func (l *line) wait(begin time.Duration) time.Duration {
 	full := l.batch.Call + time.Duration(l.batch.Most)*l.batch.Item
-	perPiece := float64(full) / float64(l.batch.Most*l.workers)
+	perPiece := float64(full) / (float64(l.batch.Most) * l.workers)
 	return max(0, time.Duration(float64(l.waiting+l.coming)*perPiece)-begin)
 }
 
 // callWith is how long a call takes that holds some pieces of a job and what
 // else waits.
 func (l *line) callWith(own int) time.Duration {
-	n := min(l.batch.Most, own+(l.waiting+l.coming)/l.workers)
+	n := min(l.batch.Most, own+int(float64(l.waiting+l.coming)/l.workers))
 	return l.batch.Call + time.Duration(n)*l.batch.Item
 }
--- a/internal/stage/queue/fill.go
+++ b/internal/stage/queue/fill.go
@@ -112,8 +112,8 @@
 // turnIn is how long it takes at most until a worker in a data centre is free
 // that is to make all that waits.
 func (l *line) turnIn(centre string) time.Duration {
-	return homePatience * l.call() / time.Duration(l.centres[centre])
+	return time.Duration(homePatience * float64(l.call()) / l.centres[centre])
 }
 
 // turn is how long it usually takes until a worker is free.
-func (l *line) turn() time.Duration { return l.call() / time.Duration(l.workers+1) }
+func (l *line) turn() time.Duration { return time.Duration(float64(l.call()) / (l.workers + 1)) }
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -36,8 +36,8 @@
 // line is what waits for one service.
 type line struct {
 	batch   catalog.Batch
-	workers int            // calls that the endpoints can work on at once
-	centres map[string]int // the same by data centre
+	workers float64            // calls that the endpoints can work on at once; one that is slow counts for less
+	centres map[string]float64 // the same by data centre
 	groups  []*group
 	waiting int     // pieces in groups
 	coming  int     // pieces of admitted jobs whose earlier stages are not made
@@ -57,8 +57,9 @@
 func New() *Queue { return &Queue{lines: make(map[string]*line)} }
 
 // Service sets what is known of a service: how its endpoints work, and how many
-// calls the usable ones can work on at once in each data centre.
-func (q *Queue) Service(name string, b catalog.Batch, centres map[string]int) {
+// calls the usable ones can work on at once in each data centre, where one that
+// takes twice as long as usual counts for half a call.
+func (q *Queue) Service(name string, b catalog.Batch, centres map[string]float64) {
 	l := q.line(name)
 	l.batch, l.centres, l.workers = b, centres, 0
 	for _, n := range centres {
