--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -117,11 +117,6 @@
 	}
 	o.Job.Goal = o.Job.Goal.Add(-first)
 	o.Job.Deadline = o.Job.Deadline.Add(-first)
-	for i, s := range o.Job.Stages {
-		if len(s.After) == 0 && !o.Job.Last(i) {
-			o.Job.Wanted = "" // its results go to other stages
-		}
-	}
 }
 
 func handles(results []job.Result) []string {
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -21,7 +21,7 @@
 	Rank     int       // zero is the most urgent
 	Goal     time.Time // until when the stages should end, so that the request is on time; not after Deadline
 	Deadline time.Time // from when on nobody waits for the request
-	Wanted   string    // data centre in which the results of the first stages are wanted; empty for any
+	Wanted   string    // data centre in which the request takes its inputs; empty for any
 
 	Made    [][]Result // by stage and piece; a zero Result where it is not made
 	Open    []int      // pieces of each stage that are not made
@@ -89,10 +89,14 @@
 }
 
 // Home returns the data centre in which most bytes of what stage i takes lie.
-// For a first stage it is where its results are wanted; empty stands for any.
+// For a first stage whose results the request itself takes it is where these are
+// wanted; empty stands for any.
 func (j *Job) Home(i int) string {
 	if len(j.Stages[i].After) == 0 {
-		return j.Wanted
+		if j.Last(i) {
+			return j.Wanted
+		}
+		return ""
 	}
 	bytes := make(map[string]int64)
 	home := ""
--- a/internal/stage/queue/fill.go
+++ b/internal/stage/queue/fill.go
@@ -56,14 +56,25 @@
 	return pieces
 }
 
+// tier is how a group stands in the order of a worker's next call.
+type tier int
+
+const (
+	pressing tier = iota // it is late if it has to wait for another call
+	near                 // its inputs lie in the worker's data centre, or anywhere
+	far
+	hopeless // it cannot be on time any more
+)
+
 // ranked is a group with the time that it has to spare.
 type ranked struct {
 	group *group
+	tier  tier
 	spare time.Duration
 }
 
-// order sorts the groups of a line: those that can be on time by the time they
-// have to spare, then those that cannot, the most urgent rank first.
+// order sorts the groups of a line for a worker: by tier, and then by the time
+// that they have to spare; the hopeless by rank first.
 func (q *Queue) order(l *line, w Worker, now time.Time) []ranked {
 	list := make([]ranked, 0, len(l.groups))
 	usual := l.call()
@@ -71,22 +82,27 @@
 	slow := time.Duration(w.Slow*float64(usual)) - usual
 	for _, g := range l.groups {
 		spare := g.job.Goal.Sub(now) - usual - q.rest(g.job, g.stage)
-		if spare >= 0 && spare < slow && l.workers > 1 {
-			continue // another worker can still make it in time
-		}
-		if calm && g.home != w.Centre && l.centres[g.home] > 0 && spare > l.turnIn(g.home) {
-			continue // a worker beside its inputs should be free in time
+		isFar := g.home != w.Centre && l.centres[g.home] > 0
+		switch {
+		case spare < 0:
+			list = append(list, ranked{g, hopeless, spare})
+		case spare < slow && l.workers > 1:
+			// Another worker can still make it in time.
+		case isFar && calm && spare > l.turnIn(g.home):
+			// A worker beside its inputs should be free in time.
+		case spare < usual:
+			list = append(list, ranked{g, pressing, spare})
+		case isFar:
+			list = append(list, ranked{g, far, spare})
+		default:
+			list = append(list, ranked{g, near, spare})
 		}
-		list = append(list, ranked{group: g, spare: spare})
 	}
 	slices.SortStableFunc(list, func(a, b ranked) int {
-		if (a.spare < 0) != (b.spare < 0) {
-			return cmp.Compare(b.spare, a.spare) // the one that can be on time
-		}
-		if a.spare < 0 {
+		if a.tier == hopeless && b.tier == hopeless {
 			return cmp.Or(cmp.Compare(a.group.job.Rank, b.group.job.Rank), cmp.Compare(b.spare, a.spare))
 		}
-		return cmp.Compare(a.spare, b.spare)
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.spare, b.spare))
 	})
 	return list
 }
--- a/internal/stage/queue/queue_test.go
+++ b/internal/stage/queue/queue_test.go
@@ -154,3 +154,24 @@
 	g.Expect(q.Lost(j, func(job.Result) bool { return true })).To(BeTrue())
 	g.Expect(q.Fill(worker, start)).To(HaveLen(2))
 }
+
+// TestFullCallsTakeWhatIsNear fills a call from more pieces than it holds,
+// half of which have their inputs elsewhere.
+func TestFullCallsTakeWhatIsNear(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue(map[string]float64{"a": 1, "b": 1})
+	for i := range 20 {
+		j := one(1, 0, time.Duration(3000-i)*time.Millisecond)
+		j.Wanted = []string{"a", "b"}[i%2]
+		q.Add(j)
+	}
+	pressing := one(1, 0, 400*time.Millisecond)
+	pressing.Wanted = "b"
+	q.Add(pressing)
+	pieces := q.Fill(queue.Worker{Service: "s", Centre: "a", Room: 1000, Slow: 1}, start)
+	g.Expect(pieces).To(HaveLen(10))
+	g.Expect(pieces[0].Job).To(Equal(pressing), "what cannot wait goes first, wherever its inputs lie")
+	for _, p := range pieces[1:] {
+		g.Expect(p.Job.Wanted).To(Equal("a"))
+	}
+}
