--- a/internal/bench/gate/gate.go
+++ b/internal/bench/gate/gate.go
@@ -20,6 +20,8 @@
 	conns  map[net.Conn]struct{}
 	isCut  bool
 	frozen chan struct{} // closed when traffic may flow
+	silent chan struct{} // closed when traffic from the target may flow
+	delay  time.Duration // of each piece of traffic
 	closed bool
 }
 
@@ -31,7 +33,7 @@
 	}
 	open := make(chan struct{})
 	close(open)
-	g := &Gate{target: target, listener: l, conns: make(map[net.Conn]struct{}), frozen: open}
+	g := &Gate{target: target, listener: l, conns: make(map[net.Conn]struct{}), frozen: open, silent: open}
 	go g.accept()
 	return g, g.close, nil
 }
@@ -66,6 +68,23 @@
 	return sync.OnceFunc(func() { close(held) })
 }
 
+// Silence holds back the traffic from the target, and not that to it, until the
+// returned function is called.
+func (g *Gate) Silence() (heal func()) {
+	held := make(chan struct{})
+	g.mu.Lock()
+	g.silent = held
+	g.mu.Unlock()
+	return sync.OnceFunc(func() { close(held) })
+}
+
+// Delay holds each piece of traffic back for a time.
+func (g *Gate) Delay(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delay = d
+}
+
 // Kick closes all connections once; new ones pass.
 func (g *Gate) Kick() {
 	g.mu.Lock()
@@ -126,7 +145,7 @@
 	}
 	done := make(chan struct{}, 2)
 	pass := func(to, from net.Conn) {
-		io.Copy(held{gate: g, to: to}, from)
+		io.Copy(held{gate: g, to: to, back: to == in}, from)
 		to.(*net.TCPConn).CloseWrite()
 		done <- struct{}{}
 	}
@@ -144,13 +163,18 @@
 type held struct {
 	gate *Gate
 	to   net.Conn
+	back bool // whether the traffic comes from the target
 }
 
 // Write waits until traffic flows.
 func (h held) Write(data []byte) (int, error) {
 	h.gate.mu.Lock()
-	frozen := h.gate.frozen
+	frozen, silent, delay := h.gate.frozen, h.gate.silent, h.gate.delay
 	h.gate.mu.Unlock()
 	<-frozen
+	if h.back {
+		<-silent
+	}
+	time.Sleep(delay)
 	return h.to.Write(data)
 }
