--- a/internal/bench/gathering/model.go
+++ b/internal/bench/gathering/model.go
@@ -86,7 +86,6 @@
 	queue   int
 	job     *job.Job
 	worked  time.Duration // by endpoints on its pieces
-	lost    bool
 }
 
 type event struct {
@@ -99,7 +98,9 @@
 func (e events) Len() int           { return len(e) }
 func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
 func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
 
 // Pop removes the last event.
 func (e *events) Pop() any {
