--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -29,7 +29,6 @@
 	Deadline time.Time // the caller's or the route's, the earlier one
 
 	Prompt []Part // of the request to an engine, in order
-	Output int    // most tokens that an engine may generate
 	Pieces []int  // of each stage of the route; empty where it has none
 	Key    string // that the pieces of first stages are made from
 	Resume string // id of the last event that the caller has; empty for none
