Refuse an order that comes before the first catalog

Found by reading: an instance that follows one which was just restarted may send it an order before it knows a catalog, and the foreman would have ended the process by a nil pointer. Test: TestOrderBeforeTheFirstCatalog, which panics without the change.

--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -98,6 +98,11 @@
 	if f.jobs[j.ID] != nil || len(f.jobs) >= mostJobs {
 		return nil, fault.New(code.Overloaded, "%d jobs are under way", len(f.jobs))
 	}
+	if f.catalog() == nil {
+		bad := fault.New(code.NotReady, "the instance that gathers knows no catalog yet")
+		bad.After = tickEvery
+		return nil, bad
+	}
 	f.refresh(j)
 	v := f.queue.Judge(j, now)
 	f.log.Info("job judged", "request", j.Request, "take", v.Take, "ground", v.Ground.String(), "takes", v.Takes.String(),
--- a/internal/stage/foreman/foreman_test.go
+++ b/internal/stage/foreman/foreman_test.go
@@ -373,3 +373,15 @@
 		w.Release(j.ID)
 	})
 }
+
+// TestOrderBeforeTheFirstCatalog has another instance ask one that has just
+// been restarted and knows no catalog yet.
+func TestOrderBeforeTheFirstCatalog(t *testing.T) {
+	g := NewWithT(t)
+	f := foreman.New(func() *catalog.Catalog { return nil }, func() *fleet.Index { return fleet.NewIndex(nil) }, newShop(), logr.Discard())
+	now := time.Now()
+	j := job.New("j", "j", "key", []catalog.Stage{{Service: "first"}}, []int{1}, 0, now.Add(time.Second), now.Add(2*time.Second))
+	_, err := f.Prepare(context.Background(), j)
+	g.Expect(fault.From(err).Code).To(Equal(code.NotReady))
+	g.Expect(fault.From(err).After).To(BeNumerically(">", 0))
+}
