--- a/internal/edge/catalog/route.go
+++ b/internal/edge/catalog/route.go
@@ -77,15 +77,3 @@
 		panic(fmt.Sprintf("catalog: got route kind %d", int(r.Kind)))
 	}
 }
-
-// Last reports whether no other stage takes the results of stage i.
-func (r *Route) Last(i int) bool {
-	for _, s := range r.Stages {
-		for _, a := range s.After {
-			if a == i {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/edge/fleet/index.go
+++ b/internal/edge/fleet/index.go
@@ -4,21 +4,18 @@
 
 // Index finds endpoints. It is frozen.
 type Index struct {
-	byName    map[string]*Endpoint
-	byAddress map[string]*Endpoint
-	services  map[string][]*Endpoint
+	byName   map[string]*Endpoint
+	services map[string][]*Endpoint
 }
 
 // NewIndex returns the index of a list of endpoints.
 func NewIndex(all []*Endpoint) *Index {
 	x := &Index{
-		byName:    make(map[string]*Endpoint, len(all)),
-		byAddress: make(map[string]*Endpoint, len(all)),
-		services:  make(map[string][]*Endpoint),
+		byName:   make(map[string]*Endpoint, len(all)),
+		services: make(map[string][]*Endpoint),
 	}
 	for _, e := range all {
 		x.byName[e.Name()] = e
-		x.byAddress[e.Address] = e
 		if e.Takes() {
 			x.services[e.Service] = append(x.services[e.Service], e)
 		}
@@ -29,8 +26,5 @@
 // Named returns the endpoint of a name, or nil.
 func (x *Index) Named(name string) *Endpoint { return x.byName[name] }
 
-// At returns the endpoint at an address, or nil.
-func (x *Index) At(address string) *Endpoint { return x.byAddress[address] }
-
 // Of returns the endpoints of a service that take new work.
 func (x *Index) Of(service string) []*Endpoint { return x.services[service] }
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -57,16 +57,6 @@
 	clear(p.idle)
 }
 
-// Drop closes the idle connections to an endpoint.
-func (p *Pool) Drop(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[name] {
-		c.Close()
-	}
-	delete(p.idle, name)
-}
-
 // get returns a connection to an endpoint, an idle one if it is still sound.
 func (p *Pool) get(ctx context.Context, name, address string) (*conn, error) {
 	for {
