--- a/internal/bench/demo/driver.go
+++ b/internal/bench/demo/driver.go
@@ -35,10 +35,10 @@
 	callers  []*caller.Caller
 	closers  []func()
 	half     chan struct{} // closed when half of the requests were sent
+	chats    *conversations
 
 	mu      sync.Mutex
 	visits  []visit
-	chats   map[int][]caller.Message // the last conversation of each account
 	marks   marks
 	ignored int // requests whose first try the demo itself cut
 }
@@ -46,7 +46,7 @@
 func newDriver(f *fleet.Fleet, b *balancer, o Options) *driver {
 	d := &driver{
 		fleet: f, balancer: b, options: o, table: f.Table,
-		half: make(chan struct{}), chats: make(map[int][]caller.Message),
+		half: make(chan struct{}), chats: newConversations(),
 	}
 	for _, a := range f.Table.Accounts {
 		c, closeCaller := caller.New("key-"+a.Name, giveUp, true)
@@ -150,26 +150,14 @@
 	}
 }
 
-// mostTurns bounds a conversation.
-const mostTurns = 12
-
 // chat adds a turn to the account's conversation.
 func (d *driver) chat(c *caller.Caller, account, n int, stream bool) func(context.Context, string) caller.Outcome {
 	m := d.table.Models[0]
 	p := d.table.Pipeline(m.Pipeline)
-	d.mu.Lock()
-	turns := append([]caller.Message(nil), d.chats[account]...)
-	d.mu.Unlock()
-	turns = append(turns, caller.Message{Role: "user", Content: fmt.Sprintf("question %d", n)})
+	turns := d.chats.ask(account, fmt.Sprintf("question %d", n))
 	return func(ctx context.Context, base string) caller.Outcome {
 		o := c.Chat(ctx, base, m.Name, p, turns, stream, p.Deadline.Duration())
-		next := append(turns, caller.Message{Role: "assistant", Content: o.Output})
-		if len(next) > mostTurns {
-			next = nil
-		}
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.chats[account] = next
+		d.chats.reply(account, turns, o.Output)
 		return o
 	}
 }
