Drop the budget of a stage, which only tests called

A stage may go on until half of what later stages need is left before the request's deadline; the budget dates from before that. The test of its bounds is replaced by one of what is used: what fits needs no more than is left, and the need shrinks from stage to stage.

--- a/internal/admission/schedule/schedule.go
+++ b/internal/admission/schedule/schedule.go
@@ -1,6 +1,5 @@
-// Package schedule divides a request's deadline between its stages, from the
-// times that stages were measured to take, and says early which requests can't
-// be finished.
+// Package schedule says early which requests can't be finished by their
+// deadline, from the times that stages were measured to take.
 package schedule
 
 // This file defines Schedule and Verdict.
@@ -99,29 +98,6 @@
 	return expected, expected / 2
 }
 
-// Budget returns the part of the time left that stage i may use: what the
-// later stages are not expected to need. Where that is less than the stage's
-// own mean, the time left is divided in proportion to the means.
-func (s *Schedule) Budget(p *pipeline.Pipeline, i int, left time.Duration) time.Duration {
-	if left <= 0 {
-		return 0
-	}
-	own, _ := s.Time(p, i)
-	var means, reserved time.Duration
-	for j := i + 1; j < len(p.Stages); j++ {
-		mean, deviation := s.Time(p, j)
-		means += mean
-		reserved += mean + time.Duration(reserve*float64(deviation))
-	}
-	if budget := left - reserved; budget >= own {
-		return budget
-	}
-	if own+means == 0 {
-		return left
-	}
-	return time.Duration(float64(left) * float64(own) / float64(own+means))
-}
-
 // Need returns the time that stage i and all later ones take in all but few
 // cases: their means and some deviations, without waits in queues.
 func (s *Schedule) Need(p *pipeline.Pipeline, i int) time.Duration {
--- a/internal/admission/schedule/schedule_test.go
+++ b/internal/admission/schedule/schedule_test.go
@@ -20,20 +20,6 @@
 	return p
 }
 
-func TestBudgetLeavesWhatLaterStagesNeed(t *testing.T) {
-	g := NewWithT(t)
-	s := schedule.New()
-	p := stages(10*time.Millisecond, time.Second)
-	for range 100 {
-		s.Observe("p", "a", 10*time.Millisecond)
-		s.Observe("p", "b", 2*time.Second)
-	}
-	g.Expect(s.Budget(p, 0, 8*time.Second)).To(BeNumerically("~", 6*time.Second, 100*time.Millisecond))
-	g.Expect(s.Budget(p, 1, 8*time.Second)).To(Equal(8 * time.Second))
-	g.Expect(s.Budget(p, 0, time.Second)).To(BeNumerically("~", 5*time.Millisecond, time.Millisecond), "too little for all: in proportion")
-	g.Expect(s.Budget(p, 0, -time.Second)).To(BeZero())
-}
-
 func TestFitsRefusesWhatCanNotBeFinished(t *testing.T) {
 	g := NewWithT(t)
 	s := schedule.New()
@@ -46,8 +32,9 @@
 	g.Expect(s.Fits(p, 1, 100*time.Millisecond, 0).Fits).To(BeFalse())
 }
 
-// A budget is never negative and never more than what is left.
-func TestBudgetIsWithinWhatIsLeft(t *testing.T) {
+// Work that fits the time left takes no more than that, and later stages never
+// need more than earlier ones with them.
+func TestNeedShrinksFromStageToStage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := schedule.New()
 		var times []time.Duration
@@ -57,8 +44,11 @@
 		p := stages(times...)
 		left := time.Duration(rapid.Int64Range(-int64(time.Second), int64(20*time.Second)).Draw(t, "left"))
 		for i := range p.Stages {
-			if b := s.Budget(p, i, left); b < 0 || b > max(0, left) {
-				t.Fatalf("got budget %s of %s", b, left)
+			if v := s.Fits(p, i, left, 0); v.Fits && v.Need > left {
+				t.Fatalf("stage %d: got need %s of %s, want no more", i, v.Need, left)
+			}
+			if i > 0 && s.Need(p, i) > s.Need(p, i-1) {
+				t.Fatalf("stage %d: got need %s, want at most %s", i, s.Need(p, i), s.Need(p, i-1))
 			}
 		}
 	})
