Judge jobs of one kind alike on arrival

Of the tenth with the least time 0.04 were taken, of the rest of their kind all that fitted: a threshold that sorts by size.

Ruled out: engines refusing large prompts (3 of 16,000 sends), and stages (pieces do not grow with the prompt).

Now jobs of one rank and path are judged by the mean time that their requests take after the stages; the order of the line still goes by their own.

The time to the first event and what is to spare then are logged.

--- a/internal/bench/gathering/gathering_test.go
+++ b/internal/bench/gathering/gathering_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// TestLargeRequestsAreServedAsOften replays loads at which not all can be
+// served, and prompts of which some are read for far longer than others. Those
+// have less time for their stages, and must be served at least half as often.
+func TestLargeRequestsAreServedAsOften(t *testing.T) {
+	for _, s := range sites {
+		for _, load := range []float64{1.5, 2, 3} {
+			r := gathering.Run(s, gathering.Ways()[0], gathering.Options{Load: load, Length: length, Seed: 1, Reading: 40 * time.Millisecond})
+			for name, c := range r.Classes {
+				all, largest := c.Served()
+				NewWithT(t).Expect(largest).To(BeNumerically(">=", all/2), "%s at %.1f, %s: of all %.3f", s.Name, load, name, all)
+			}
+		}
+	}
+}
+
 // TestBurstsAreBorne replays bursts of one class after the other, as days of
 // high load bring them. What the endpoints can make at most bounds what can be
 // asked for: nothing is lost on kelang, and on slamka a tenth.
--- a/internal/bench/gathering/model.go
+++ b/internal/bench/gathering/model.go
@@ -17,6 +17,7 @@
 
 const (
 	hop        = 2 * time.Millisecond   // between any two processes, there
+	mostRead   = 4                      // times the mean that an engine reads a prompt at most
 	firstEvent = 160 * time.Millisecond // of an engine, once the inputs are there
 	refused    = 60 * time.Millisecond  // that an instance waits which found an endpoint full
 	spread     = 0.5                    // of the times after which refused callers return
@@ -46,7 +47,9 @@
 	Length time.Duration
 	Bursts map[string][]arrival.Burst // by class
 	Seed   uint64
-	Crash  time.Duration // from when on the first endpoint of each service is dead; zero for never
+	// Reading is how long engines read a prompt on average beyond firstEvent.
+	Reading time.Duration
+	Crash   time.Duration // from when on the first endpoint of each service is dead; zero for never
 }
 
 type model struct {
@@ -82,10 +85,12 @@
 	class   *Class
 	tally   *Tally
 	arrived time.Duration
+	first   time.Duration // of its engine, once the inputs are there
 	tries   int
 	queue   int
 	job     *job.Job
 	worked  time.Duration // by endpoints on its pieces
+	index   int           // among the tally's sizes
 }
 
 type event struct {
@@ -158,7 +163,13 @@
 
 func (m *model) arrive(c *Class) {
 	r := &request{class: c, tally: m.result.Classes[c.Name], arrived: m.now, queue: m.rng.IntN(len(m.queues))}
+	r.first = firstEvent
+	if m.opts.Reading > 0 {
+		r.first += time.Duration(float64(m.opts.Reading) * min(mostRead, m.rng.ExpFloat64()))
+	}
 	r.tally.Asked++
+	r.tally.sizes = append(r.tally.sizes, size{first: r.first})
+	r.index = len(r.tally.sizes) - 1
 	m.offer(r)
 }
 
@@ -180,7 +191,8 @@
 	m.next++
 	id := fmt.Sprint(m.next)
 	start := time.Unix(1000, 0).Add(r.arrived)
-	r.job = job.New(id, id, id, stages, pieces, c.Rank, start.Add(c.Goal-firstEvent-hop), start.Add(c.Deadline-firstEvent))
+	r.job = job.New(id, id, id, stages, pieces, c.Rank, start.Add(c.Goal-r.first-hop), start.Add(c.Deadline-r.first))
+	r.job.After = r.first
 	q := m.queues[r.queue]
 	v := q.Judge(r.job, m.clock())
 	if !v.Take && !m.way.Blind {
@@ -308,12 +320,13 @@
 	m.at(m.now+w.service.Batch.Call, func() { w.held -= size })
 	if r := m.jobs[p.Job]; finished && r != nil {
 		delete(m.jobs, p.Job)
-		m.at(m.now+firstEvent, func() { m.finish(r) })
+		m.at(m.now+r.first, func() { m.finish(r) })
 	}
 }
 
 func (m *model) finish(r *request) {
 	took := m.now - r.arrived
+	r.tally.sizes[r.index].served = took <= r.class.Deadline
 	switch {
 	case took <= r.class.Goal:
 		r.tally.InTime++
--- a/internal/bench/gathering/result.go
+++ b/internal/bench/gathering/result.go
@@ -3,7 +3,9 @@
 // This file defines Result and how it prints.
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,7 +32,14 @@
 	Refused    int // refusals, of first tries and of returns
 	TurnedAway int // requests refused for good
 
-	took []time.Duration
+	took  []time.Duration
+	sizes []size
+}
+
+// size is how long the engine of one request reads, and whether it was served.
+type size struct {
+	first  time.Duration
+	served bool
 }
 
 func newResult(s Site) *Result {
@@ -44,6 +53,23 @@
 // Share returns the part of a class that was served in time.
 func (t *Tally) Share() float64 { return float64(t.InTime) / max(1, float64(t.Asked)) }
 
+// Served returns the part of a class that was served, and that of its tenth
+// which engines read longest.
+func (t *Tally) Served() (all, largest float64) {
+	list := slices.Clone(t.sizes)
+	slices.SortFunc(list, func(a, b size) int { return cmp.Compare(b.first, a.first) })
+	served := func(part []size) float64 {
+		n := 0
+		for _, s := range part {
+			if s.served {
+				n++
+			}
+		}
+		return float64(n) / max(1, float64(len(part)))
+	}
+	return served(list), served(list[:len(list)/10])
+}
+
 // Quantile returns the time to the first event that a share of the served
 // requests did not exceed.
 func (t *Tally) Quantile(share float64) time.Duration {
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -67,6 +67,8 @@
 			if first == 0 {
 				first = max(1, time.Since(start))
 				f.ready.Started() // inputs are read before the first event is made
+				f.log.Info("first event", "request", f.call.ID, "after", time.Since(f.call.Received).String(),
+					"spare", time.Until(f.call.Goal).String())
 			}
 			if err := f.pass(a, buf[:end+2]); err != nil {
 				return first, err
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -115,6 +115,7 @@
 			o.Job.Wanted = choice.Engine.Centre
 		}
 	}
+	o.Job.After = first
 	o.Job.Goal = o.Job.Goal.Add(-first)
 	o.Job.Deadline = o.Job.Deadline.Add(-first)
 }
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -17,11 +17,12 @@
 	Request  string // id of the request, as endpoints know it
 	Key      string // that the pieces of first stages are made from
 	Stages   []catalog.Stage
-	Pieces   []int     // wanted of each stage
-	Rank     int       // zero is the most urgent
-	Goal     time.Time // until when the stages should end, so that the request is on time; not after Deadline
-	Deadline time.Time // from when on nobody waits for the request
-	Wanted   string    // data centre in which the request takes its inputs; empty for any
+	Pieces   []int         // wanted of each stage
+	Rank     int           // zero is the most urgent
+	Goal     time.Time     // until when the stages should end, so that the request is on time; not after Deadline
+	Deadline time.Time     // from when on nobody waits for the request
+	After    time.Duration // that the request takes after its stages, for which Goal leaves time
+	Wanted   string        // data centre in which the request takes its inputs; empty for any
 
 	Made    [][]Result // by stage and piece; a zero Result where it is not made
 	Open    []int      // pieces of each stage that are not made
--- a/internal/stage/queue/admit.go
+++ b/internal/stage/queue/admit.go
@@ -105,7 +105,8 @@
 		return v
 	}
 	v.Takes = time.Duration(doubt * float64(v.Takes))
-	v.decide(j, narrow.taken.reserve(rankOf(j)), now)
+	left := j.Goal.Add(j.After - q.usual.note(j)).Sub(now)
+	v.decide(left, j.Deadline.Sub(now), narrow.taken.reserve(rankOf(j)))
 	for i, s := range j.Stages {
 		if l := q.line(s.Service); j.Open[i] > 0 {
 			l.taken.note(rankOf(j), !v.Take && l == narrow)
@@ -138,13 +139,14 @@
 	return v, narrow
 }
 
-func (v *Verdict) decide(j *job.Job, reserve float64, now time.Time) {
-	left := j.Goal.Sub(now)
+// decide sets whether a job is taken that should end within left and must end
+// within most.
+func (v *Verdict) decide(left, most time.Duration, reserve float64) {
 	short := v.Wait <= idleWait
 	switch {
 	case v.Takes <= time.Duration((1-reserve)*float64(left)), short && v.Takes <= left:
 		v.Take, v.Ground = true, InTime
-	case short && v.Takes <= j.Deadline.Sub(now):
+	case short && v.Takes <= most:
 		v.Take, v.Ground = true, Spare
 	default:
 		v.Ground = TooLate
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -24,6 +24,7 @@
 // Queue holds the pieces that wait, by service.
 type Queue struct {
 	lines map[string]*line
+	usual usual
 }
 
 // Piece is one piece of a job.
@@ -54,7 +55,9 @@
 }
 
 // New returns an empty queue.
-func New() *Queue { return &Queue{lines: make(map[string]*line)} }
+func New() *Queue {
+	return &Queue{lines: make(map[string]*line), usual: usual{after: make(map[kind]time.Duration)}}
+}
 
 // Service sets what is known of a service: how its endpoints work, and how many
 // calls the usable ones can work on at once in each data centre, where one that
--- a/internal/stage/queue/queue_test.go
+++ b/internal/stage/queue/queue_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// TestJobsOfAKindAreJudgedAlike replays a line at the limit: a job whose
+// request takes longer after its stages is taken with the rest of its kind,
+// and one of another kind is judged by its own.
+func TestJobsOfAKindAreJudgedAlike(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue(map[string]float64{"a": 2})
+	arrive := func(rank int, after time.Duration) queue.Verdict {
+		j := one(1, rank, 1500*time.Millisecond-after)
+		j.After = after
+		return q.Judge(j, start)
+	}
+	for range 50 {
+		arrive(0, 100*time.Millisecond)
+	}
+	for q.Judge(one(1, 1, 1300*time.Millisecond), start).Take {
+		q.Add(one(1, 1, 9*time.Second))
+	}
+	g.Expect(arrive(0, 100*time.Millisecond).Take).To(BeTrue())
+	g.Expect(arrive(0, 400*time.Millisecond).Take).To(BeTrue(), "one of its kind")
+	g.Expect(arrive(2, 400*time.Millisecond).Take).To(BeFalse(), "the first of its kind")
+}
+
 func TestLostResultsAreMadeAgain(t *testing.T) {
 	g := NewWithT(t)
 	q := newQueue(map[string]float64{"a": 1})
