Know refused callers again when they come back

What a caller asks for is the same on each attempt: the key of the pieces and the prompt, and the end of the time that it waits.

--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/call"
@@ -16,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/routing/prompt"
 	"github.com/jacinthstile/jacinthstile/internal/stage/foreman"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+	"github.com/jacinthstile/jacinthstile/internal/stage/returns"
 )
 
 const (
@@ -50,11 +54,14 @@
 	catalog func() *catalog.Catalog
 	fleet   func() *fleet.Index
 	log     logr.Logger
+
+	mu      sync.Mutex
+	returns *returns.Returns
 }
 
 // New returns a gatherer.
 func New(f *foreman.Foreman, p *prompt.Chooser, c func() *catalog.Catalog, x func() *fleet.Index, log logr.Logger) *Gatherer {
-	return &Gatherer{foreman: f, chooser: p, catalog: c, fleet: x, log: log}
+	return &Gatherer{foreman: f, chooser: p, catalog: c, fleet: x, log: log, returns: returns.New()}
 }
 
 // Order has the stages of a request done and chooses its engine. Ended must
@@ -66,15 +73,58 @@
 	}
 	var results []job.Result
 	if o.Job != nil {
-		g.schedule(o)
 		var err error
-		if results, err = g.foreman.Prepare(ctx, o.Job); err != nil {
+		if results, err = g.stages(ctx, o); err != nil {
 			return Ready{}, err
 		}
 	}
 	return g.ready(o, results), nil
 }
 
+// stages has the stages of a request done, by the goal of its caller's first attempt.
+func (g *Gatherer) stages(ctx context.Context, o Order) ([]job.Result, error) {
+	asked, deadline := o.asked(), o.Job.Deadline
+	g.mu.Lock()
+	goal := g.returns.Goal(asked, o.Job.Goal, deadline)
+	g.mu.Unlock()
+	if waited := o.Job.Goal.Sub(goal); waited > 0 {
+		g.log.Info("caller came back", "request", o.Request, "waited", waited.String())
+	}
+	o.Job.Goal = goal
+	g.schedule(o)
+	results, err := g.foreman.Prepare(ctx, o.Job)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		g.returns.Refused(asked, goal, deadline)
+		return nil, err
+	}
+	g.returns.Served(asked)
+	return results, nil
+}
+
+// asked tells what an order asks for, whatever the attempt.
+func (o Order) asked() uint64 {
+	h := xxhash.New()
+	write := func(text string, n int) {
+		if _, err := h.WriteString(text + "\x00"); err != nil {
+			panic("gatherer: hashing in memory: " + err.Error())
+		}
+		if _, err := h.Write(binary.LittleEndian.AppendUint64(nil, uint64(n))); err != nil {
+			panic("gatherer: hashing in memory: " + err.Error())
+		}
+	}
+	write(o.Service, o.Job.Rank)
+	write(o.Job.Key, len(o.Prompt))
+	for _, p := range o.Prompt {
+		write(p.ID, p.Tokens)
+	}
+	for _, n := range o.Job.Pieces {
+		write("", n)
+	}
+	return h.Sum64()
+}
+
 func (g *Gatherer) ready(o Order, results []job.Result) Ready {
 	r := Ready{Handles: handles(results)}
 	cat := g.catalog()
