Order calls of one account's rank by that of their routes

Now an account's rank goes first and the route's decides among equals. The reserve counts the ranks that a service sees, not the distance of their numbers, and forgets a rank whose jobs have not come for 5 s: until now one that was refused and then gone kept its reserve for good.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -18,7 +18,7 @@
 	Catalog  *catalog.Catalog // in force when the call arrived
 	Service  string           // that runs it
 	Account  string
-	Rank     int // zero is the most urgent
+	Rank     int // of the account, or of the route where that has none; zero is the most urgent
 	Method   string
 	Target   string // path and query as received
 	Host     string
@@ -40,6 +40,13 @@
 	Tokens int
 }
 
+// Urgency orders calls by their rank, and those of one rank by that of their
+// routes; zero is the most urgent. Where accounts have ranks these say nothing
+// of what the calls of one account are for.
+func (c *Call) Urgency() int { return within(c.Rank)*catalog.Ranks + within(c.Route.Rank) }
+
+func within(rank int) int { return min(catalog.Ranks-1, max(0, rank)) }
+
 // Staged reports whether stages have to be done before the call can run.
 func (c *Call) Staged() bool {
 	for _, n := range c.Pieces {
--- a/internal/edge/catalog/route.go
+++ b/internal/edge/catalog/route.go
@@ -34,6 +34,9 @@
 	return kindNames[k]
 }
 
+// Ranks is how many ranks there are; zero is the most urgent.
+const Ranks = 10
+
 // Route says how the requests below one path are served.
 type Route struct {
 	Name     string
--- a/internal/stage/queue/admit.go
+++ b/internal/stage/queue/admit.go
@@ -3,7 +3,9 @@
 // This file decides on arrival whether a job can be done in time.
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
@@ -27,7 +29,10 @@
 	// takenGain is the weight of one job in the moving share of those taken: a
 	// second or two of a busy service.
 	takenGain = 0.01
-	ranks     = 10
+	mostRanks = 100 // that are told apart at a service
+	// lately is how long nothing is reserved for a rank after its last job: some
+	// returns of refused callers.
+	lately = 5 * time.Second
 )
 
 // Ground is the reason of a verdict.
@@ -55,34 +60,46 @@
 }
 
 // taken is the moving share of jobs that a service did not keep from being
-// taken, by rank.
+// taken, by rank, the most urgent first.
 type taken struct {
-	share [ranks]float64
-	seen  [ranks]bool
+	ranks []standing
 }
 
-func rankOf(j *job.Job) int { return min(ranks-1, max(0, j.Rank)) }
+type standing struct {
+	rank  int
+	share float64
+	seen  time.Time // when a job of the rank came last
+}
 
 // note takes in whether a job was kept out by the service.
-func (t *taken) note(rank int, out bool) {
-	if !t.seen[rank] {
-		t.seen[rank], t.share[rank] = true, 1
+func (t *taken) note(rank int, out bool, now time.Time) {
+	i, known := slices.BinarySearchFunc(t.ranks, rank, func(s standing, rank int) int { return cmp.Compare(s.rank, rank) })
+	if !known {
+		if len(t.ranks) >= mostRanks {
+			return
+		}
+		t.ranks = slices.Insert(t.ranks, i, standing{rank: rank, share: 1})
 	}
 	value := 1.0
 	if out {
 		value = 0
 	}
-	t.share[rank] += takenGain * (value - t.share[rank])
+	t.ranks[i].share += takenGain * (value - t.ranks[i].share)
+	t.ranks[i].seen = now
 }
 
 // reserve is the share of its time that a job leaves to others: the more often
-// its rank is taken than the others, with a step from rank to rank, the more.
-func (t *taken) reserve(rank int) float64 {
+// its rank is taken than the others that came lately, with a step from rank to
+// rank, the more.
+func (t *taken) reserve(rank int, now time.Time) float64 {
+	own := slices.IndexFunc(t.ranks, func(s standing) bool { return s.rank == rank })
+	if own < 0 {
+		return 0
+	}
 	worst := 0.0
-	for other := range ranks {
-		if t.seen[other] && other != rank {
-			ahead := t.share[rank] - t.share[other] + rankStep*float64(rank-other)
-			worst = max(worst, ahead)
+	for i, other := range t.ranks {
+		if now.Sub(other.seen) <= lately {
+			worst = max(worst, t.ranks[own].share-other.share+rankStep*float64(own-i))
 		}
 	}
 	return min(mostReserve, worst)
@@ -106,10 +123,10 @@
 	}
 	v.Takes = time.Duration(doubt * float64(v.Takes))
 	left := j.Goal.Add(j.After - q.usual.note(j)).Sub(now)
-	v.decide(left, j.Deadline.Sub(now), narrow.taken.reserve(rankOf(j)))
+	v.decide(left, j.Deadline.Sub(now), narrow.taken.reserve(j.Rank, now))
 	for i, s := range j.Stages {
 		if l := q.line(s.Service); j.Open[i] > 0 {
-			l.taken.note(rankOf(j), !v.Take && l == narrow)
+			l.taken.note(j.Rank, !v.Take && l == narrow, now)
 		}
 	}
 	return v
--- a/internal/stage/queue/queue_test.go
+++ b/internal/stage/queue/queue_test.go
@@ -137,6 +137,24 @@
 	}
 }
 
+// TestNothingIsReservedForRanksThatAreGone has a rank that was mostly refused:
+// others leave it a part of their time as long as it comes.
+func TestNothingIsReservedForRanksThatAreGone(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue(map[string]float64{"a": 1})
+	for range 12 {
+		q.Add(one(1, 11, 9*time.Second))
+	}
+	for range 200 {
+		q.Judge(one(1, 10, 100*time.Millisecond), start) // too late for it
+		q.Judge(one(1, 11, 9*time.Second), start)
+	}
+	tight := q.Judge(one(1, 11, 9*time.Second), start).Takes * 10 / 9
+	g.Expect(q.Judge(one(1, 11, tight), start).Take).To(BeFalse(), "reserved for rank 10")
+	now := start.Add(8 * time.Second)
+	g.Expect(q.Judge(one(1, 11, tight+8*time.Second), now).Take).To(BeTrue(), "rank 10 is gone")
+}
+
 // TestJobsOfAKindAreJudgedAlike replays a line at the limit: a job whose
 // request takes longer after its stages is taken with the rest of its kind,
 // and one of another kind is judged by its own.
--- a/internal/stage/queue/usual.go
+++ b/internal/stage/queue/usual.go
@@ -34,7 +34,7 @@
 	for _, s := range j.Stages {
 		path.WriteString(s.Service + " ")
 	}
-	return kind{rank: rankOf(j), path: path.String()}
+	return kind{rank: j.Rank, path: path.String()}
 }
 
 // note takes in a job, and returns the mean of its kind.
