Try to connect to a peer anew after 250 ms

Questions to a peer that starts a little later wait for one dial of 1 s, whose first packet was lost; the kernel repeats it after 1 s, when the dial gives up.

A try to connect now takes 250 ms at most, within the same second for the whole dial. The test has a listener whose full queue drops the first packet and takes connections 100 ms later: a call fails before within 700 ms.

--- /dev/null
+++ b/internal/peer/mesh/connect_test.go
@@ -0,0 +1,76 @@
+package mesh_test
+
+// This file tests dialing a peer that does not take connections for a moment.
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
+	"github.com/jacinthstile/jacinthstile/internal/peer/mesh"
+	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
+)
+
+// fullListener returns a listener whose queue is full, so that the kernel drops
+// the first packet of each further connection.
+func fullListener(t *testing.T) (l net.Listener, fillers []net.Conn) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	if l, err = net.FileListener(file); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return l, fillers
+		}
+		fillers = append(fillers, c)
+	}
+}
+
+// TestALostFirstPacketCostsLittle calls a peer that takes connections 100 ms
+// after the call: the kernel sends the first packet again only after 1 s.
+func TestALostFirstPacketCostsLittle(t *testing.T) {
+	g := NewWithT(t)
+	l, fillers := fullListener(t)
+	b, closeB := mesh.New(identity.Identity{Name: "b", Incarnation: 2, Seat: -1}, nil, logr.Discard())
+	t.Cleanup(closeB)
+	b.Handle(kind.Part, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) { return body, nil })
+	served := make(chan struct{})
+	time.AfterFunc(100*time.Millisecond, func() {
+		defer close(served)
+		for _, c := range fillers {
+			c.Close()
+		}
+		b.Serve(t.Context(), l)
+	})
+	t.Cleanup(func() {
+		l.Close()
+		<-served
+	})
+	a, closeA := mesh.New(identity.Identity{Name: "a", Incarnation: 1, Seat: -1}, nil, logr.Discard())
+	t.Cleanup(closeA)
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	_, err := a.Call(ctx, l.Addr().String(), kind.Part, &peerpb.Blob{}, &peerpb.Blob{})
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -95,8 +96,21 @@
 	}
 }
 
+// connect tries anew where a try stays without an answer. The kernel would send
+// a first packet that was lost, or came before the peer was up, again after 1 s.
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout}
+	for {
+		conn, err := d.DialContext(ctx, "tcp", address)
+		var slow net.Error
+		if err == nil || ctx.Err() != nil || !errors.As(err, &slow) || !slow.Timeout() {
+			return conn, err
+		}
+	}
+}
+
 func (m *Mesh) dial(ctx context.Context, address string) (*session, string, error) {
-	raw, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	raw, err := connect(ctx, address)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -22,18 +22,21 @@
 
 // Limits of sessions and messages.
 const (
-	dialTimeout   = time.Second // TLS and hellos included
-	helloTimeout  = time.Second
-	callTimeout   = 5 * time.Second // of a call whose context has no deadline
-	silentTimeout = 2 * time.Second // a call this long without a byte from the peer closes the session
-	idleTimeout   = time.Minute     // of a session without calls
-	deafTimeout   = 3 * time.Minute // of an accepted session without a byte
-	sweepEvery    = 15 * time.Second
-	mostMessage   = 9 << 20 // bytes; a plain service's longest reply fits
-	mostCalls     = 200     // under way on one session
-	mostHandled   = 2048    // under way over all accepted sessions
-	mostDialed    = 64      // sessions
-	mostAccepted  = 512     // sessions
+	dialTimeout = time.Second // TLS and hellos included
+	// connectTimeout is of one try to connect: above any round trip on one
+	// continent, far below the 1 s after which the kernel tries again.
+	connectTimeout = 250 * time.Millisecond
+	helloTimeout   = time.Second
+	callTimeout    = 5 * time.Second // of a call whose context has no deadline
+	silentTimeout  = 2 * time.Second // a call this long without a byte from the peer closes the session
+	idleTimeout    = time.Minute     // of a session without calls
+	deafTimeout    = 3 * time.Minute // of an accepted session without a byte
+	sweepEvery     = 15 * time.Second
+	mostMessage    = 9 << 20 // bytes; a plain service's longest reply fits
+	mostCalls      = 200     // under way on one session
+	mostHandled    = 2048    // under way over all accepted sessions
+	mostDialed     = 64      // sessions
+	mostAccepted   = 512     // sessions
 )
 
 // Handler answers a peer call. Its error reaches the peer as text.
