Take an endpoint for free whose call is overdue

Ruled out: the instance that gathers (0.14 of a core at most), refusals by endpoints (none), callers that leave.

A call that takes twice as long as it should no longer counts as under way: the endpoint gets the next one, after a rest that doubles where more than one is overdue. When a later call ends the earlier ones are given up. Results of a call without an answer count against the endpoint's room until they end by themselves. Two tests: endpoints that lose each third answer (jobs are given up before), and one that takes 5 s too long and is not piled on (passed before).

--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -22,6 +22,10 @@
 	overdueTimes  = 2.0                    // times the expected duration after which pieces go to another endpoint as well
 	overdueMargin = 150 * time.Millisecond // beyond that
 	callLimit     = 8 * time.Second        // of one call
+	// calmOverdue is how many calls of an endpoint may be overdue at once while
+	// it gets the next one without a rest: their answers may be lost, or it may be
+	// slow and make them wait.
+	calmOverdue = 1
 )
 
 // running is one call under way.
@@ -32,7 +36,9 @@
 	start    time.Time
 	expected time.Duration // at the usual speed
 	bytes    int64
-	again    bool // whether its pieces were queued once more
+	overdue  bool // its pieces were queued once more, and the endpoint may get another call
+	lost     bool // a call that began later has ended
+	cancel   context.CancelFunc
 }
 
 // dispatch gives work to all endpoints that are free.
@@ -86,7 +92,9 @@
 	w.calls++
 	w.held += r.bytes
 	f.running[r] = struct{}{}
-	go f.call(r, items)
+	var ctx context.Context
+	ctx, r.cancel = context.WithTimeout(context.Background(), callLimit)
+	go f.call(ctx, r, items)
 }
 
 func item(p queue.Piece, now time.Time) maker.Item {
@@ -99,19 +107,23 @@
 	return it
 }
 
-func (f *Foreman) call(r *running, items []maker.Item) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
+func (f *Foreman) call(ctx context.Context, r *running, items []maker.Item) {
+	defer r.cancel()
 	outcomes, err := f.maker.Make(ctx, r.endpoint, items)
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.running, r)
-	r.worker.calls--
+	if r.overdue {
+		r.worker.overdue--
+	} else {
+		r.worker.calls--
+	}
 	if err != nil {
 		f.failed(r, err, now)
 	} else {
 		r.worker.ended(now.Sub(r.start), r.expected, now)
+		f.loseEarlier(r)
 		for i, p := range r.pieces {
 			f.outcome(r, p, outcomes[i], now)
 		}
@@ -119,14 +131,32 @@
 	f.dispatch(now)
 }
 
+// loseEarlier gives up the overdue calls of an endpoint that began before one
+// that has ended: their answers were lost.
+func (f *Foreman) loseEarlier(ended *running) {
+	for r := range f.running {
+		if r.worker == ended.worker && r.overdue && r.start.Before(ended.start) {
+			r.lost = true
+			r.cancel()
+		}
+	}
+}
+
 // failed handles a call without an answer. Pieces may be made twice, so all of
-// them are queued again.
+// them are queued again. Results of a call whose answer is late or lost may lie
+// at the endpoint until they end by themselves.
 func (f *Foreman) failed(r *running, err error, now time.Time) {
-	r.worker.held -= r.bytes
 	var bad *failure.Failure
-	refused := errors.As(err, &bad) && bad.Kind == failure.Refused
-	r.worker.failed(refused, now)
-	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "after", now.Sub(r.start).String(),
+	known := errors.As(err, &bad)
+	if known && bad.Kind == failure.Late {
+		time.AfterFunc(f.keep(r.endpoint.Service), func() { f.leave(r.worker, r.bytes) })
+	} else {
+		r.worker.held -= r.bytes
+	}
+	if !r.lost {
+		r.worker.failed(known && bad.Kind == failure.Refused, now)
+	}
+	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "lost", r.lost, "after", now.Sub(r.start).String(),
 		"reason", err.Error())
 	for _, p := range r.pieces {
 		f.queue.Again(p)
@@ -193,13 +223,15 @@
 	return 0
 }
 
-// overdue queues the pieces of a call once more that takes far longer than it should.
-func (f *Foreman) overdue(r *running, now time.Time) {
+// late queues the pieces of a call once more that takes far longer than it
+// should, and takes its endpoint for free.
+func (f *Foreman) late(r *running, now time.Time) {
 	took := now.Sub(r.start)
-	if r.again || took < time.Duration(overdueTimes*float64(r.expected))+overdueMargin {
+	if r.overdue || took < time.Duration(overdueTimes*float64(r.expected))+overdueMargin {
 		return
 	}
-	r.again = true
+	r.overdue = true
+	r.worker.isLate(now)
 	r.worker.ended(took, r.expected, now)
 	f.log.Info("stage call overdue", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "after", took.String(),
 		"expected", r.expected.String())
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -246,7 +246,7 @@
 		}
 	}
 	for r := range f.running {
-		f.overdue(r, now)
+		f.late(r, now)
 	}
 	f.forget()
 	f.dispatch(now)
--- a/internal/stage/foreman/foreman_test.go
+++ b/internal/stage/foreman/foreman_test.go
@@ -40,6 +40,7 @@
 	highest int // results at one endpoint
 	trouble func(e *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error, bool)
 	slow    map[string]time.Duration // beyond the usual time
+	loses   int                      // of how many calls the answer to one is lost; zero for none
 }
 
 func newShop() *shop {
@@ -61,6 +62,7 @@
 	}
 	s.busy[e.ID] = true
 	s.calls = append(s.calls, len(items))
+	number := len(s.calls)
 	took := callTime + time.Duration(len(items))*itemTime + s.slow[e.ID]
 	s.mu.Unlock()
 	select {
@@ -86,6 +88,12 @@
 		s.held[e.ID][out[i].Handle] = true
 	}
 	s.highest = max(s.highest, len(s.held[e.ID]))
+	if s.loses > 0 && number%s.loses == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return nil, failure.New(failure.Late, ctx.Err(), "waiting")
+	}
 	return out, nil
 }
 
@@ -252,6 +260,51 @@
 	})
 }
 
+// TestLostAnswersKeepNoEndpointIdle replays endpoints that work on all calls,
+// and of which each third answer is lost without a word.
+func TestLostAnswersKeepNoEndpointIdle(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.shop.loses = 3
+		errs := make(chan error, 60)
+		for range 60 {
+			j := w.job(4, 0, 3*time.Second)
+			go func() { errs <- w.prepare(j)[0] }()
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 60 {
+			g.Expect(<-errs).NotTo(HaveOccurred())
+		}
+	})
+}
+
+// TestSlowEndpointsAreNotPiledOn has one endpoint that takes far longer than it
+// should: it gets a second call while the first is overdue, and no more.
+func TestSlowEndpointsAreNotPiledOn(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.shop.slow["a"] = 5 * time.Second
+		asked := 0
+		w.shop.trouble = func(e *fleet.Endpoint, _ []maker.Item) ([]maker.Outcome, error, bool) {
+			if e.ID == "a" {
+				asked++
+			}
+			return nil, nil, false
+		}
+		errs := make(chan error, 40)
+		for range 40 {
+			j := w.job(2, 0, 3*time.Second)
+			go func() { errs <- w.prepare(j)[0] }()
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 40 {
+			g.Expect(<-errs).NotTo(HaveOccurred())
+		}
+		w.shop.mu.Lock()
+		defer w.shop.mu.Unlock()
+		g.Expect(asked).To(BeNumerically("<=", 60), "a full endpoint is asked again after a rest")
+		g.Expect(w.shop.highest * 10).To(BeNumerically("<=", 1000))
+	})
+}
+
 // TestLostInputsAreMadeAgain crashes an endpoint, with the results that it
 // holds, between two stages.
 func TestLostInputsAreMadeAgain(t *testing.T) {
--- a/internal/stage/foreman/free.go
+++ b/internal/stage/foreman/free.go
@@ -92,3 +92,11 @@
 	w.held -= size
 	f.dispatch(time.Now())
 }
+
+// leave counts room that an endpoint has again where results ended by themselves.
+func (f *Foreman) leave(w *worker, size int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.held -= size
+	f.dispatch(time.Now())
+}
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -23,7 +23,8 @@
 )
 
 type worker struct {
-	calls    int     // under way
+	calls    int     // under way, but for those that are overdue
+	overdue  int     // calls
 	held     int64   // bytes of results, those being made included
 	slow     float64 // times as long as usual that calls took, 1 or more
 	slowAt   time.Time
@@ -38,7 +39,7 @@
 func (f *Foreman) forget() {
 	index := f.fleet()
 	for name, w := range f.workers {
-		if w.calls == 0 && index.Named(name) == nil {
+		if w.calls == 0 && w.overdue == 0 && index.Named(name) == nil {
 			delete(f.workers, name)
 		}
 	}
@@ -86,6 +87,15 @@
 	w.failures++
 }
 
+// isLate counts a call as overdue that was under way.
+func (w *worker) isLate(now time.Time) {
+	w.calls--
+	w.overdue++
+	if w.overdue > calmOverdue {
+		w.until = now.Add(min(mostOut, failedOut<<min(w.overdue-calmOverdue-1, 4)))
+	}
+}
+
 func (w *worker) full(now time.Time) { w.until = now.Add(roomOut) }
 
 // sortBySpeed puts the fastest endpoints first.
