Count what is known as current while a witness proves it

An instance that the store turned away asked it again every 0.05 to 0.5 s, and its proof grew old, also where another instance that the store serves proved that nothing had changed: keyed requests were refused there after a while. Found by reading what asks the store while it fails; the test has a store that turns this instance away and serves the witness, and fails before on the age of the proof. A change of which the witness tells is still asked of the store itself, so an instance that cannot learn of a key that was taken away refuses as before.

--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -89,8 +89,9 @@
 	}
 	wait, gap := watchWait, watchGap
 	switch revision, at, ok := f.witness.Last(); {
-	case !ok || f.proof.Now()-at > trusted || f.lost:
+	case !ok || f.proof.Now()-at > trusted:
 	case revision <= f.at:
+		f.regain("another instance knows that nothing changed")
 		f.proof.Renew(at)
 		f.idle(ctx)
 		return nil
@@ -125,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	f.regain()
+	f.regain("it answered")
 	var endpoints []fleet.Endpoint
 	for _, c := range changes {
 		if r, ok := c.(Registered); ok {
@@ -156,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	f.regain()
+	f.regain("it answered")
 	for _, c := range changes {
 		f.apply(c)
 	}
@@ -212,13 +213,13 @@
 	f.log.Error(err, "store out of reach", "proof", age.String())
 }
 
-func (f *Follower) regain() {
+func (f *Follower) regain(ground string) {
 	if !f.lost {
 		return
 	}
 	f.lost = false
 	f.fleet.Regain(time.Now())
-	f.log.Info("store reached again", "after", time.Since(f.since).String())
+	f.log.Info("store reached again", "ground", ground, "after", time.Since(f.since).String())
 }
 
 func (f *Follower) sweep() {
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -297,6 +297,24 @@
 	})
 }
 
+// TestTurnedAwayWithAWitnessAsksSeldom has a store that turns this instance
+// away and serves its witness: as long as nothing changes it is not asked, and
+// what is known counts as current.
+func TestTurnedAwayWithAWitnessAsksSeldom(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.store.set(down)
+		time.Sleep(2 * time.Second) // it takes notice
+		before := w.store.calls.Load()
+		for range 30 {
+			w.witness.Hear(0, w.proof.Now()-200*time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+		}
+		g.Expect(w.store.calls.Load() - before).To(BeNumerically("<=", 2))
+		g.Expect(w.uses("a")).To(BeTrue())
+	})
+}
+
 // TestOldProofsOfAWitnessGrantNothing cuts this instance off from the store,
 // with a witness that is cut off as well.
 func TestOldProofsOfAWitnessGrantNothing(t *testing.T) {
