Let a follower rest before its calls are counted

TestTurnedAwayWithAWitnessAsksSeldom failed in 26 of 100 runs: the follower rests for up to 0.5 s after a failure, a random time, and the first check came 0.3 s after the witness was heard. It now hears the witness for 0.6 s first; the bounds are the same. 100 runs with the race detector pass.

--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -304,10 +304,16 @@
 	play(t, func(g *WithT, w *world) {
 		w.store.set(down)
 		time.Sleep(2 * time.Second) // it takes notice
+		hear := func(n int) {
+			for range n {
+				w.witness.Hear(0, w.proof.Now()-200*time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		hear(2) // it may rest after a failure, 0.5 s at most
 		before := w.store.calls.Load()
 		for range 30 {
-			w.witness.Hear(0, w.proof.Now()-200*time.Millisecond)
-			time.Sleep(300 * time.Millisecond)
+			hear(1)
 			g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
 		}
 		g.Expect(w.store.calls.Load() - before).To(BeNumerically("<=", 2))
