--- a/internal/edge/proof/proof.go
+++ b/internal/edge/proof/proof.go
@@ -35,13 +35,19 @@
 	}
 }
 
+// At returns the moment of the newest proof, and false before the first.
+func (p *Proof) At() (time.Duration, bool) {
+	at := p.at.Load()
+	return time.Duration(at), at != 0
+}
+
 // Age returns the time since the newest proof, and false before the first.
 func (p *Proof) Age() (time.Duration, bool) {
-	at := p.at.Load()
-	if at == 0 {
+	at, ok := p.At()
+	if !ok {
 		return 0, false
 	}
-	return p.clock() - time.Duration(at), true
+	return p.clock() - at, true
 }
 
 // Within reports whether there is a proof that is not older than the bound.
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/gatherer"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+	"github.com/jacinthstile/jacinthstile/internal/stage/lag"
 )
 
 const mostLeaders = 3 // instances that one order is handed to, one after the other
@@ -29,7 +30,9 @@
 	local    *gatherer.Gatherer
 	election *election.Election
 	mesh     *mesh.Mesh
-	fit      func() (fit, doubt bool)
+	fit      func() bool
+	reaches  func() bool
+	lag      *lag.Lag
 	proof    *proof.Proof
 	witness  *witness.Witness
 	revision func() uint64 // up to which this instance knows the store
@@ -48,9 +51,8 @@
 
 // State is what instances tell each other of themselves.
 type State struct {
-	// Fit says whether this instance can gather for others, and whether others
-	// may be better placed.
-	Fit      func() (fit, doubt bool)
+	Fit      func() bool // whether this instance can gather for others
+	Reaches  func() bool // whether it reaches the endpoints of stages; others may be better placed
 	Proof    *proof.Proof
 	Revision func() uint64    // up to which this instance knows the store
 	Witness  *witness.Witness // is told the proofs of the instance that gathers
@@ -60,7 +62,7 @@
 // registers the desk's handlers with the mesh.
 func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, s State, log logr.Logger) *Desk {
 	d := &Desk{
-		self: self, local: local, election: e, mesh: m, fit: s.Fit, proof: s.Proof, witness: s.Witness, revision: s.Revision,
+		self: self, local: local, election: e, mesh: m, fit: s.Fit, reaches: s.Reaches, lag: lag.New(), proof: s.Proof, witness: s.Witness, revision: s.Revision,
 		log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
 	}
 	d.settled = sync.OnceFunc(func() { close(d.begun) })
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -28,7 +28,7 @@
 	tick := time.NewTicker(askSoon)
 	defer tick.Stop()
 	for round := 0; ; round++ {
-		d.election.SetState(d.fit())
+		d.election.SetState(d.fit(), d.doubts())
 		d.askAll(ctx, round%askOther == 0 || !d.follows() || time.Since(start) < settle)
 		d.follow(time.Now())
 		if d.follows() || time.Since(start) > settle {
@@ -44,6 +44,24 @@
 	}
 }
 
+// doubts reports whether others may be better placed to gather: this instance
+// is cut off from the store or from the endpoints.
+func (d *Desk) doubts() bool {
+	own, known := d.proof.At()
+	return !known || d.lag.Behind(own, d.proof.Now()) || !d.reaches()
+}
+
+// hear takes in the proof of an instance that was asked, or that asked, at a
+// moment.
+func (d *Desk) hear(roll *stagepb.Roll, asked time.Duration) (at time.Duration, ok bool) {
+	if roll.Revision == 0 {
+		return 0, false
+	}
+	at = asked - time.Duration(roll.ProofMs)*time.Millisecond
+	d.lag.Heard(at)
+	return at, true
+}
+
 // follows reports whether this instance follows another one.
 func (d *Desk) follows() bool {
 	d.mu.Lock()
@@ -75,8 +93,8 @@
 	}
 	now := time.Now()
 	d.election.Answered(address, decodeRoll(roll, now), now)
-	if roll.Revision > 0 && d.election.Leader(now) == address {
-		d.witness.Hear(roll.Revision, asked-time.Duration(roll.ProofMs)*time.Millisecond)
+	if at, ok := d.hear(roll, asked); ok && d.election.Leader(now) == address {
+		d.witness.Hear(roll.Revision, at)
 	}
 }
 
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -35,6 +35,7 @@
 		}
 		now := time.Now()
 		d.election.Heard(decodeRoll(&roll, now))
+		d.hear(&roll, d.proof.Now())
 		return proto.Marshal(d.roll(now))
 	})
 	d.mesh.Handle(kind.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
