--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -62,8 +62,8 @@
 // registers the desk's handlers with the mesh.
 func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, s State, log logr.Logger) *Desk {
 	d := &Desk{
-		self: self, local: local, election: e, mesh: m, fit: s.Fit, reaches: s.Reaches, lag: lag.New(), proof: s.Proof, witness: s.Witness, revision: s.Revision,
-		log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
+		self: self, local: local, election: e, mesh: m, fit: s.Fit, reaches: s.Reaches, lag: lag.New(), proof: s.Proof,
+		witness: s.Witness, revision: s.Revision, log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
 	}
 	d.settled = sync.OnceFunc(func() { close(d.begun) })
 	d.handle()
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -156,8 +156,8 @@
 	if !r.lost {
 		r.worker.failed(known && bad.Kind == failure.Refused, now)
 	}
-	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "lost", r.lost, "after", now.Sub(r.start).String(),
-		"reason", err.Error())
+	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "lost", r.lost,
+		"after", now.Sub(r.start).String(), "reason", err.Error())
 	for _, p := range r.pieces {
 		f.queue.Again(p)
 	}
@@ -225,15 +225,15 @@
 	return 0
 }
 
-// late queues the pieces of a call once more that takes far longer than it
+// lookAfter queues the pieces of a call once more that takes far longer than it
 // should, and takes its endpoint for free.
-func (f *Foreman) late(r *running, now time.Time) {
+func (f *Foreman) lookAfter(r *running, now time.Time) {
 	took := now.Sub(r.start)
 	if r.overdue || took < time.Duration(overdueTimes*float64(r.expected))+overdueMargin {
 		return
 	}
 	r.overdue = true
-	r.worker.isLate(now)
+	r.worker.overrun(now)
 	r.worker.ended(took, r.expected, now)
 	f.log.Info("stage call overdue", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "after", took.String(),
 		"expected", r.expected.String())
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -105,8 +105,8 @@
 	}
 	f.refresh(j)
 	v := f.queue.Judge(j, now)
-	f.log.Info("job judged", "request", j.Request, "rank", j.Rank, "take", v.Take, "ground", v.Ground.String(), "takes", v.Takes.String(),
-		"wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
+	f.log.Info("job judged", "request", j.Request, "rank", j.Rank, "take", v.Take, "ground", v.Ground.String(),
+		"takes", v.Takes.String(), "wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
 	if !v.Take {
 		bad := fault.New(refusal(v.Ground), "stages: %s, they would take %s of %s", v.Ground, v.Takes, j.Goal.Sub(now))
 		bad.After = v.After
@@ -246,7 +246,7 @@
 		}
 	}
 	for r := range f.running {
-		f.late(r, now)
+		f.lookAfter(r, now)
 	}
 	f.forget()
 	f.dispatch(now)
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -87,8 +87,9 @@
 	w.failures++
 }
 
-// isLate counts a call as overdue that was under way.
-func (w *worker) isLate(now time.Time) {
+// overrun counts a call as overdue that was under way, and has the endpoint
+// rest where others are overdue as well.
+func (w *worker) overrun(now time.Time) {
 	w.calls--
 	w.overdue++
 	if w.overdue > calmOverdue {
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -83,9 +83,9 @@
 
 // stages has the stages of a request done, by the goal of its caller's first attempt.
 func (g *Gatherer) stages(ctx context.Context, o Order) ([]job.Result, error) {
-	asked, deadline := o.asked(), o.Job.Deadline
+	wanted, deadline := o.fingerprint(), o.Job.Deadline
 	g.mu.Lock()
-	goal := g.returns.Goal(asked, o.Job.Goal, deadline)
+	goal := g.returns.Goal(wanted, o.Job.Goal, deadline)
 	g.mu.Unlock()
 	if waited := o.Job.Goal.Sub(goal); waited > 0 {
 		g.log.Info("caller came back", "request", o.Request, "waited", waited.String())
@@ -96,15 +96,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
-		g.returns.Refused(asked, goal, deadline)
+		g.returns.Refused(wanted, goal, deadline)
 		return nil, err
 	}
-	g.returns.Served(asked)
+	g.returns.Served(wanted)
 	return results, nil
 }
 
-// asked tells what an order asks for, whatever the attempt.
-func (o Order) asked() uint64 {
+// fingerprint tells what an order asks for, the same on each attempt of a caller.
+func (o Order) fingerprint() uint64 {
 	h := xxhash.New()
 	write := func(text string, n int) {
 		if _, err := h.WriteString(text + "\x00"); err != nil {
--- a/internal/stage/returns/returns.go
+++ b/internal/stage/returns/returns.go
@@ -25,7 +25,7 @@
 	tolerance = 100 * time.Millisecond
 )
 
-// Returns remembers refused requests by what they ask for. Its caller holds the lock.
+// Returns remembers refused requests by the fingerprint of what they ask for. Its caller holds the lock.
 type Returns struct {
 	refused *simplelru.LRU[uint64, times]
 }
@@ -47,8 +47,8 @@
 
 // Goal returns until when the answer to a request is worth most that arrives
 // with the given times: the first attempt's time where it is a return.
-func (r *Returns) Goal(asked uint64, goal, deadline time.Time) time.Time {
-	first, known := r.refused.Get(asked)
+func (r *Returns) Goal(fingerprint uint64, goal, deadline time.Time) time.Time {
+	first, known := r.refused.Get(fingerprint)
 	if !known || deadline.Sub(first.deadline).Abs() > tolerance || !first.goal.Before(goal) {
 		return goal
 	}
@@ -56,9 +56,9 @@
 }
 
 // Refused records a refusal, with the goal that Goal returned.
-func (r *Returns) Refused(asked uint64, goal, deadline time.Time) {
-	r.refused.Add(asked, times{goal: goal, deadline: deadline})
+func (r *Returns) Refused(fingerprint uint64, goal, deadline time.Time) {
+	r.refused.Add(fingerprint, times{goal: goal, deadline: deadline})
 }
 
-// Served forgets what was asked for.
-func (r *Returns) Served(asked uint64) { r.refused.Remove(asked) }
+// Served forgets a request.
+func (r *Returns) Served(fingerprint uint64) { r.refused.Remove(fingerprint) }
