--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -27,14 +27,33 @@
 	outage   bool
 	returned time.Time // when the platform was last reached again; zero for never
 	changed  func([]*Endpoint)
+	held     bool // whether changes are handed out later
+	dirty    bool // whether there are such changes
 }
 
 // New returns an empty fleet. The function is called with all endpoints after
-// each change; it must not call back.
+// each change that is not held; it must not call back.
 func New(changed func([]*Endpoint)) *Fleet {
 	return &Fleet{members: make(map[string]*Endpoint), missing: make(map[string]time.Time), changed: changed}
 }
 
+// Hold keeps changes back until release, which hands them out at once. Handing
+// out takes time for all endpoints, which thousands of changes that come together
+// would each take.
+func (f *Fleet) Hold() (release func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = true
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.held = false
+		if f.dirty {
+			f.publish()
+		}
+	}
+}
+
 // Put records a registration.
 func (f *Fleet) Put(e Endpoint) {
 	f.mu.Lock()
@@ -134,6 +153,11 @@
 
 // publish hands out the endpoints in a fixed order.
 func (f *Fleet) publish() {
+	if f.held {
+		f.dirty = true
+		return
+	}
+	f.dirty = false
 	all := slices.Collect(maps.Values(f.members))
 	slices.SortFunc(all, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	f.changed(all)
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -158,9 +158,7 @@
 		return err
 	}
 	f.regain("it answered")
-	for _, c := range changes {
-		f.apply(c)
-	}
+	f.applyAll(changes)
 	f.at = max(f.at, at)
 	f.known.Store(f.at)
 	// An answer without changes was given when the wait was over.
@@ -171,6 +169,15 @@
 	return nil
 }
 
+// applyAll takes changes into force that came together.
+func (f *Follower) applyAll(changes []Change) {
+	release := f.fleet.Hold()
+	defer release()
+	for _, c := range changes {
+		f.apply(c)
+	}
+}
+
 // apply takes one change into force.
 func (f *Follower) apply(c Change) {
 	switch c := c.(type) {
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -139,6 +139,7 @@
 	witness *witness.Witness
 	version atomic.Uint64
 	index   atomic.Pointer[fleet.Index]
+	handed  atomic.Int64 // times that the endpoints were handed out
 }
 
 func (w *world) uses(id string) bool {
@@ -152,7 +153,10 @@
 		start := time.Now()
 		w := &world{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}, witness: witness.New()}
 		w.proof = proof.New(func() time.Duration { return time.Since(start) + time.Hour })
-		members := fleet.New(func(all []*fleet.Endpoint) { w.index.Store(fleet.NewIndex(all)) })
+		members := fleet.New(func(all []*fleet.Endpoint) {
+			w.index.Store(fleet.NewIndex(all))
+			w.handed.Add(1)
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		f2 := follower.New(w.store, w.witness, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
 		done := make(chan struct{})
@@ -335,6 +339,23 @@
 	})
 }
 
+// TestChangesThatComeTogetherAreHandedOutOnce registers 3,000 endpoints within a
+// second, as at the start of a large fleet.
+func TestChangesThatComeTogetherAreHandedOutOnce(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		before := w.handed.Load()
+		for i := range 3000 {
+			w.store.register(fmt.Sprint("n", i), true)
+			if i%100 == 0 {
+				time.Sleep(30 * time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		g.Expect(w.uses("n2999")).To(BeTrue())
+		g.Expect(w.handed.Load() - before).To(BeNumerically("<=", 8))
+	})
+}
+
 // TestManyChangesTakeFewCalls registers endpoints one after the other, as at
 // the start of a fleet.
 func TestManyChangesTakeFewCalls(t *testing.T) {
