Use failure.KindOf, and hash a call's prompt once

The proxy had a copy of failure.KindOf to the letter, and one more test of a kind by hand. The blocks of a prompt were worked out for each choice of an endpoint and again for its result, though the prompt never changes; they are made once when a call begins, as flow/runner does. No change of behaviour.

--- a/internal/edge/proxy/answer.go
+++ b/internal/edge/proxy/answer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,22 +21,13 @@
 
 func unsent() board.Result { return board.Result{Kind: failure.Unsent} }
 
-// kindOf returns the kind of a failed send.
-func kindOf(err error) failure.Kind {
-	var f *failure.Failure
-	if errors.As(err, &f) {
-		return f.Kind
-	}
-	return failure.Lost
-}
-
 // send sends the call to an endpoint and relays its answer.
 func (f *flight) send(ctx context.Context, lease *dispatcher.Lease, e *fleet.Endpoint) (bool, error) {
 	left := time.Until(f.call.Deadline)
 	a, err := f.pool.Send(ctx, f.target(e, left))
 	f.logSend(lease, e, left, a, err)
 	if err != nil {
-		lease.Done(board.Result{Kind: kindOf(err)})
+		lease.Done(board.Result{Kind: failure.KindOf(err)})
 		f.tried = append(f.tried, lease.Endpoint.Name)
 		return f.failed(ctx, err)
 	}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -85,7 +85,7 @@
 func (p *Proxy) Serve(ctx context.Context, c *call.Call, w http.ResponseWriter) error {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	f := &flight{Proxy: p, call: c, out: w}
+	f := &flight{Proxy: p, call: c, out: w, blocks: blocksOf(c.Prompt)}
 	err := f.fly(ctx)
 	if err == nil {
 		return nil
@@ -112,6 +112,7 @@
 	*Proxy
 	call   *call.Call
 	out    http.ResponseWriter
+	blocks []uint64 // of the prompt
 	ready  Prepared
 	rounds int      // of preparation
 	tried  []string // names of endpoints that failed the call
@@ -180,7 +181,7 @@
 	}
 	ask := dispatcher.Ask{
 		Request: f.call.ID, Account: f.call.Account, Stage: f.call.Service, Attempt: f.sends,
-		Query:  picker.Query{Role: f.call.Service, Blocks: f.blocks(), Tried: f.tried, Again: true},
+		Query:  picker.Query{Role: f.call.Service, Blocks: f.blocks, Tried: f.tried, Again: true},
 		Latest: latest,
 	}
 	if f.ready.Prefer != "" && !slices.Contains(f.tried, f.ready.Prefer) {
@@ -223,9 +224,8 @@
 		f.maybe = true
 		return false, ctx.Err()
 	}
-	var bad *failure.Failure
-	if errors.As(err, &bad) && bad.Kind == failure.Unsent {
-		return f.next(bad.Error(), false)
+	if failure.KindOf(err) == failure.Unsent {
+		return f.next(err.Error(), false)
 	}
 	f.maybe = true
 	f.runs++
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/call"
 	"github.com/jacinthstile/jacinthstile/internal/edge/upstream"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -33,7 +34,7 @@
 	start := time.Now()
 	first, err := f.events(a, start)
 	if err == nil {
-		lease.Done(board.Result{First: first, Tokens: f.stream.events, Blocks: f.blocks()})
+		lease.Done(board.Result{First: first, Tokens: f.stream.events, Blocks: f.blocks})
 		return false, nil
 	}
 	kind := failure.Lost
@@ -158,12 +159,12 @@
 	return ""
 }
 
-// blocks returns the prompt as blocks for the index of caches: each stands for
+// blocksOf returns a prompt as blocks for the index of caches: each stands for
 // some tokens of a part and for all parts before it.
-func (f *flight) blocks() []uint64 {
+func blocksOf(prompt []call.Part) []uint64 {
 	var blocks []uint64
 	h := xxhash.New()
-	for _, part := range f.call.Prompt {
+	for _, part := range prompt {
 		if _, err := h.WriteString(part.ID); err != nil {
 			panic("proxy: hashing in memory: " + err.Error())
 		}
