Survey the endpoints of a stage once an order

For each order the endpoints of its services were counted, and on dispatch counted again, listed, and sorted with two lookups by a name that is built anew in each comparison. One pass now tells the queue what is of use and returns who is free, with its worker and speed; what an order has surveyed its dispatch uses. refreshService, free and sortBySpeed fold into survey, with a result that nobody read.

The queue looked for the group of a job's stage in four loops of its own, and went through all groups once more for each piece that was made even where none had become empty; line.group serves all four. The kind of a failed call comes from failure.KindOf. No change of behaviour, tests as they were.

--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -41,8 +40,9 @@
 	cancel   context.CancelFunc
 }
 
-// dispatch gives work to all endpoints that are free.
-func (f *Foreman) dispatch(now time.Time) {
+// dispatch gives work to all endpoints that are free. Services that were
+// surveyed at the same moment are not surveyed again.
+func (f *Foreman) dispatch(now time.Time, surveyed map[string][]idle) {
 	c := f.catalog()
 	if c == nil {
 		return
@@ -51,8 +51,11 @@
 		if s.Batch == nil || f.queue.Waiting(name) == 0 {
 			continue
 		}
-		f.refreshService(c, name)
-		for _, e := range f.free(name, s.Batch, now) {
+		list, known := surveyed[name]
+		if !known {
+			list = f.survey(name, s.Batch, now)
+		}
+		for _, e := range list {
 			if f.queue.Waiting(name) == 0 {
 				break
 			}
@@ -61,27 +64,15 @@
 	}
 }
 
-// free returns the endpoints that can take a call, the fastest first.
-func (f *Foreman) free(service string, b *catalog.Batch, now time.Time) []*fleet.Endpoint {
-	var list []*fleet.Endpoint
-	for _, e := range f.fleet().Of(service) {
-		if w := f.worker(e); w.calls < b.Calls && !w.out(now) {
-			list = append(list, e)
-		}
-	}
-	f.sortBySpeed(list, now)
-	return list
-}
-
 // give sends the next call to an endpoint.
-func (f *Foreman) give(e *fleet.Endpoint, b *catalog.Batch, now time.Time) {
-	w := f.worker(e)
-	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Centre: e.Centre, Room: w.room(b), Slow: w.factor(now)}, now)
+func (f *Foreman) give(e idle, b *catalog.Batch, now time.Time) {
+	w := e.worker
+	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Centre: e.Centre, Room: w.room(b), Slow: e.slow}, now)
 	if len(pieces) == 0 {
 		return
 	}
 	r := &running{
-		worker: w, endpoint: e, pieces: pieces, start: now,
+		worker: w, endpoint: e.Endpoint, pieces: pieces, start: now,
 		expected: b.Call + time.Duration(len(pieces))*b.Item,
 	}
 	items := make([]maker.Item, len(pieces))
@@ -128,7 +119,7 @@
 			f.outcome(r, p, outcomes[i], now)
 		}
 	}
-	f.dispatch(now)
+	f.dispatch(now, nil)
 }
 
 // loseEarlier gives up the overdue calls of an endpoint that began before one
@@ -146,15 +137,14 @@
 // them are queued again. Results of a call whose answer is late or lost may lie
 // at the endpoint until they end by themselves.
 func (f *Foreman) failed(r *running, err error, now time.Time) {
-	var bad *failure.Failure
-	known := errors.As(err, &bad)
-	if known && bad.Kind == failure.Late {
+	kind := failure.KindOf(err)
+	if kind == failure.Late {
 		time.AfterFunc(f.keep(r.endpoint.Service), func() { f.leave(r.worker, r.bytes) })
 	} else {
 		r.worker.held -= r.bytes
 	}
 	if !r.lost {
-		r.worker.failed(known && bad.Kind == failure.Refused, now)
+		r.worker.failed(kind == failure.Refused, now)
 	}
 	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "lost", r.lost,
 		"after", now.Sub(r.start).String(), "reason", err.Error())
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -98,12 +98,13 @@
 	if f.jobs[j.ID] != nil || len(f.jobs) >= mostJobs {
 		return nil, fault.New(code.Overloaded, "%d jobs are under way", len(f.jobs))
 	}
-	if f.catalog() == nil {
+	c := f.catalog()
+	if c == nil {
 		bad := fault.New(code.NotReady, "the instance that gathers knows no catalog yet")
 		bad.After = tickEvery
 		return nil, bad
 	}
-	f.refresh(j)
+	surveyed := f.surveys(c, j, now)
 	v := f.queue.Judge(j, now)
 	f.log.Info("job judged", "request", j.Request, "rank", j.Rank, "take", v.Take, "ground", v.Ground.String(),
 		"takes", v.Takes.String(), "wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
@@ -115,7 +116,7 @@
 	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline, start: now, takes: v.Takes}
 	f.jobs[j.ID] = e
 	f.queue.Add(j)
-	f.dispatch(now)
+	f.dispatch(now, surveyed)
 	return e, nil
 }
 
@@ -126,28 +127,19 @@
 	return code.Overloaded
 }
 
-// refresh tells the queue how many endpoints the services of a job have.
-func (f *Foreman) refresh(j *job.Job) {
-	c := f.catalog()
-	for _, s := range j.Stages {
-		f.refreshService(c, s.Service)
-	}
-}
-
-func (f *Foreman) refreshService(c *catalog.Catalog, name string) *catalog.Batch {
-	s := c.Services[name]
-	if s == nil || s.Batch == nil {
-		return nil
-	}
-	usable := make(map[string]float64)
-	now := time.Now()
-	for _, e := range f.fleet().Of(name) {
-		if w := f.worker(e); !w.failing(now) {
-			usable[e.Centre] += float64(s.Batch.Calls) / w.factor(now)
+// surveys surveys the services of a job.
+func (f *Foreman) surveys(c *catalog.Catalog, j *job.Job, now time.Time) map[string][]idle {
+	surveyed := make(map[string][]idle)
+	for _, stage := range j.Stages {
+		s := c.Services[stage.Service]
+		if s == nil || s.Batch == nil {
+			continue
+		}
+		if _, done := surveyed[stage.Service]; !done {
+			surveyed[stage.Service] = f.survey(stage.Service, s.Batch, now)
 		}
 	}
-	f.queue.Service(name, *s.Batch, usable)
-	return s.Batch
+	return surveyed
 }
 
 // restart makes all results of a job again, since those that later stages
@@ -249,5 +241,5 @@
 		f.lookAfter(r, now)
 	}
 	f.forget()
-	f.dispatch(now)
+	f.dispatch(now, nil)
 }
--- a/internal/stage/foreman/free.go
+++ b/internal/stage/foreman/free.go
@@ -90,7 +90,7 @@
 	defer f.mu.Unlock()
 	f.frees--
 	w.held -= size
-	f.dispatch(time.Now())
+	f.dispatch(time.Now(), nil)
 }
 
 // leave counts room that an endpoint has again where results ended by themselves.
@@ -98,5 +98,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.held -= size
-	f.dispatch(time.Now())
+	f.dispatch(time.Now(), nil)
 }
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -99,9 +99,29 @@
 
 func (w *worker) full(now time.Time) { w.until = now.Add(roomOut) }
 
-// sortBySpeed puts the fastest endpoints first.
-func (f *Foreman) sortBySpeed(list []*fleet.Endpoint, now time.Time) {
-	slices.SortStableFunc(list, func(a, b *fleet.Endpoint) int {
-		return cmp.Compare(f.worker(a).factor(now), f.worker(b).factor(now))
-	})
+// idle is an endpoint that can take a call.
+type idle struct {
+	*fleet.Endpoint
+	worker *worker
+	slow   float64 // how many times as long as usual its next call should take
+}
+
+// survey tells the queue how many endpoints of a service are of use, and
+// returns those that can take a call, the fastest first.
+func (f *Foreman) survey(service string, b *catalog.Batch, now time.Time) []idle {
+	usable := make(map[string]float64)
+	var list []idle
+	for _, e := range f.fleet().Of(service) {
+		w := f.worker(e)
+		slow := w.factor(now)
+		if !w.failing(now) {
+			usable[e.Centre] += float64(b.Calls) / slow
+		}
+		if w.calls < b.Calls && !w.out(now) {
+			list = append(list, idle{Endpoint: e, worker: w, slow: slow})
+		}
+	}
+	f.queue.Service(service, *b, usable)
+	slices.SortStableFunc(list, func(a, b idle) int { return cmp.Compare(a.slow, b.slow) })
+	return list
 }
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -111,11 +111,9 @@
 func (q *Queue) wait(j *job.Job, stage int, pieces []int) {
 	l := q.line(j.Stages[stage].Service)
 	l.waiting += len(pieces)
-	for _, g := range l.groups {
-		if g.job == j && g.stage == stage {
-			g.pieces = append(g.pieces, pieces...)
-			return
-		}
+	if g := l.group(j, stage); g != nil {
+		g.pieces = append(g.pieces, pieces...)
+		return
 	}
 	l.groups = append(l.groups, &group{job: j, stage: stage, pieces: pieces, home: j.Home(stage)})
 }
@@ -144,16 +142,15 @@
 // drop takes a piece that was made meanwhile out of the line.
 func (q *Queue) drop(p Piece) {
 	l := q.line(p.Job.Stages[p.Stage].Service)
-	for _, g := range l.groups {
-		if g.job != p.Job || g.stage != p.Stage {
-			continue
-		}
-		if i := slices.Index(g.pieces, p.Index); i >= 0 {
-			g.pieces = slices.Delete(g.pieces, i, i+1)
-			l.waiting--
-		}
+	g := l.group(p.Job, p.Stage)
+	if g == nil {
+		return
+	}
+	if i := slices.Index(g.pieces, p.Index); i >= 0 {
+		g.pieces = slices.Delete(g.pieces, i, i+1)
+		l.waiting--
+		l.clean()
 	}
-	l.clean()
 }
 
 // Again queues a piece once more that was not made.
@@ -162,10 +159,8 @@
 		return
 	}
 	l := q.line(p.Job.Stages[p.Stage].Service)
-	for _, g := range l.groups {
-		if g.job == p.Job && g.stage == p.Stage && slices.Contains(g.pieces, p.Index) {
-			return
-		}
+	if g := l.group(p.Job, p.Stage); g != nil && slices.Contains(g.pieces, p.Index) {
+		return
 	}
 	q.wait(p.Job, p.Stage, []int{p.Index})
 }
@@ -214,16 +209,23 @@
 			l.coming -= j.Open[i]
 			continue
 		}
-		for _, g := range l.groups {
-			if g.job == j && g.stage == i {
-				l.waiting -= len(g.pieces)
-				g.pieces = nil
-			}
+		if g := l.group(j, i); g != nil {
+			l.waiting -= len(g.pieces)
+			g.pieces = nil
+			l.clean()
 		}
-		l.clean()
 	}
 }
 
+// group returns what waits of a stage of a job, nil for nothing.
+func (l *line) group(j *job.Job, stage int) *group {
+	i := slices.IndexFunc(l.groups, func(g *group) bool { return g.job == j && g.stage == stage })
+	if i < 0 {
+		return nil
+	}
+	return l.groups[i]
+}
+
 // clean drops the groups without pieces.
 func (l *line) clean() {
 	l.groups = slices.DeleteFunc(l.groups, func(g *group) bool { return len(g.pieces) == 0 })
