Drop work that served nothing in orders and choices

The fingerprint of an order wraps no errors of hashing in memory that cannot come; the name of an engine is built once for each engine looked at, not twice; an urgency is never below zero, so it is not bounded again. No change of behaviour.

--- a/internal/routing/prompt/chooser.go
+++ b/internal/routing/prompt/chooser.go
@@ -108,10 +108,11 @@
 func (c *Chooser) best(r Request, chain []link, engines []*fleet.Endpoint, room int, now time.Time) Choice {
 	best := Choice{}
 	for _, e := range engines {
-		if r.Tried[e.Name()] && len(engines) > len(r.Tried) {
+		name := e.Name()
+		if r.Tried[name] && len(engines) > len(r.Tried) {
 			continue
 		}
-		k := c.engine(e.Name(), room)
+		k := c.engine(name, room)
 		v := k.weigh(r, chain, e, now)
 		if best.Engine == nil || v.Cost < best.Cost {
 			best = v
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -64,7 +64,7 @@
 func encodeOrder(r proxy.Round) *stagepb.Order {
 	c := r.Call
 	o := &stagepb.Order{
-		Id: nameOf(r), Request: c.ID, Key: c.Key, Rank: uint32(max(0, c.Urgency())), GoalMs: time.Until(c.Goal).Milliseconds(),
+		Id: nameOf(r), Request: c.ID, Key: c.Key, Rank: uint32(c.Urgency()), GoalMs: time.Until(c.Goal).Milliseconds(),
 		DeadlineMs: uint64(max(0, time.Until(c.Deadline).Milliseconds())), Service: c.Service,
 		Tried: r.Tried,
 	}
--- a/internal/stage/gatherer/gatherer.go
+++ b/internal/stage/gatherer/gatherer.go
@@ -105,14 +105,10 @@
 
 // fingerprint tells what an order asks for, the same on each attempt of a caller.
 func (o Order) fingerprint() uint64 {
-	h := xxhash.New()
+	var b []byte
 	write := func(text string, n int) {
-		if _, err := h.WriteString(text + "\x00"); err != nil {
-			panic("gatherer: hashing in memory: " + err.Error())
-		}
-		if _, err := h.Write(binary.LittleEndian.AppendUint64(nil, uint64(n))); err != nil {
-			panic("gatherer: hashing in memory: " + err.Error())
-		}
+		b = append(b, text+"\x00"...)
+		b = binary.LittleEndian.AppendUint64(b, uint64(n))
 	}
 	write(o.Service, o.Job.Rank)
 	write(o.Job.Key, len(o.Prompt))
@@ -122,7 +118,7 @@
 	for _, n := range o.Job.Pieces {
 		write("", n)
 	}
-	return h.Sum64()
+	return xxhash.Sum64(b)
 }
 
 func (g *Gatherer) ready(o Order, results []job.Result) Ready {
