--- a/internal/command/root/experiment.go
+++ b/internal/command/root/experiment.go
@@ -31,7 +31,7 @@
 
 func newExperiment() *cobra.Command {
 	c := &cobra.Command{Use: "experiment", Short: "Compare policies on small fakes in virtual time"}
-	c.AddCommand(newPolicies(), newReport())
+	c.AddCommand(newPolicies(), newReport(), newStages())
 	return c
 }
 
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -24,6 +24,7 @@
 		newStandin(),
 		newStatus(),
 		newTable(),
+		newTrace(),
 		newVersion(),
 	)
 	return c
