End orders with their caller, and peer connections with their silence

Cause, from a log of each call for pieces: at 14 and 15.7 s an instance that nobody followed asked for 13 and 59 pieces and never freed them. They were of orders sent to it at 7 s, held up by the cut and delivered once it had healed, 7 s after their callers had turned elsewhere. What they left at the endpoint took the room of one call for 4 s. Besides, a handler of a peer's call did not notice that its caller had gone, so the one that gathers went on with the orders of instances that were lost. Ruled out: results that were not freed by the one that gathers (its frees are all in the log).

Change: connections between instances are bounded like those to endpoints (base/liveness, one copy for both), so that bytes held up by a partition are dropped; the handler of an order ends with its caller (mesh.Attend). Handlers of other calls go on as before, since tickets must run to their end.

Tests that fail first: TestAttendedCallsEndWithTheirCaller, TestBothEndsNoticeSilenceWithinSeconds.

--- /dev/null
+++ b/internal/base/liveness/liveness_test.go
@@ -0,0 +1,50 @@
+package liveness_test
+
+// This file tests that both ends of a connection are guarded.
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/liveness"
+)
+
+// option reads a TCP option of a connection, in the kernel's unit.
+func option(g *WithT, c net.Conn, name int) int {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	value := 0
+	g.Expect(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) })).To(Succeed())
+	g.Expect(err).NotTo(HaveOccurred())
+	return value
+}
+
+func TestBothEndsNoticeSilenceWithinSeconds(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	dialed, err := liveness.Dialer(time.Second).Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer dialed.Close()
+	accepted, err := l.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer accepted.Close()
+	g.Expect(liveness.Guard(accepted)).To(Succeed())
+	for _, c := range []net.Conn{dialed, accepted} {
+		g.Expect(option(g, c, unix.TCP_USER_TIMEOUT)).To(BeNumerically("~", 2500, 500), "ms")
+		idle, every, count := option(g, c, unix.TCP_KEEPIDLE), option(g, c, unix.TCP_KEEPINTVL), option(g, c, unix.TCP_KEEPCNT)
+		g.Expect(idle+every*count).To(BeNumerically("<=", 5), "s")
+	}
+}
+
+func TestOtherConnectionsAreLeftAlone(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	NewWithT(t).Expect(liveness.Guard(a)).To(Succeed())
+}
--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,26 +26,6 @@
 	return &conn{Conn: raw, name: name, br: bufio.NewReaderSize(raw, bufferSize)}
 }
 
-// dial opens a connection whose silence is noticed within seconds.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			if e := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
-			}); e != nil {
-				return e
-			}
-			return err
-		},
-	}
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // sound reports whether an idle connection can take a request: it is young
 // enough, and the endpoint has neither closed it nor sent anything on it.
 func (c *conn) sound() bool {
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -11,22 +11,19 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/liveness"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 )
 
 // Limits of connections.
 const (
-	dialTimeout  = time.Second             // to an endpoint in the same region
-	idleMost     = 8 * time.Second         // that an idle connection is kept where its endpoint names no time
-	idleMargin   = 700 * time.Millisecond  // before the time that the endpoint names
-	probeIdle    = 2 * time.Second         // of TCP keep-alive
-	probeEvery   = time.Second             // of TCP keep-alive
-	probeCount   = 2                       // unanswered ones that end a connection
-	unackedMost  = 2500 * time.Millisecond // that sent bytes may stay unacknowledged
-	sweepAfter   = 64                      // connections given back between two sweeps
-	mostStray    = 2                       // stray answers passed over on one connection
-	bufferSize   = 4 << 10                 // bytes; an event or the headers of an answer fit
-	inlineUpload = 16 << 10                // bytes of a body that are written before the answer is read
+	dialTimeout  = time.Second            // to an endpoint in the same region
+	idleMost     = 8 * time.Second        // that an idle connection is kept where its endpoint names no time
+	idleMargin   = 700 * time.Millisecond // before the time that the endpoint names
+	sweepAfter   = 64                     // connections given back between two sweeps
+	mostStray    = 2                      // stray answers passed over on one connection
+	bufferSize   = 4 << 10                // bytes; an event or the headers of an answer fit
+	inlineUpload = 16 << 10               // bytes of a body that are written before the answer is read
 )
 
 // Pool holds idle connections by the name of their endpoint. It is safe for
@@ -41,7 +38,10 @@
 
 // New returns an empty pool and a function that closes its idle connections.
 func New() (*Pool, func()) {
-	p := &Pool{idle: make(map[string][]*conn), dials: dial}
+	d := liveness.Dialer(dialTimeout)
+	p := &Pool{idle: make(map[string][]*conn), dials: func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}}
 	return p, p.close
 }
 
--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/liveness"
 	"github.com/jacinthstile/jacinthstile/internal/peer/credential"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
@@ -99,7 +100,7 @@
 // connect tries anew where a try stays without an answer. The kernel would send
 // a first packet that was lost, or came before the peer was up, again after 1 s.
 func connect(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout}
+	d := liveness.Dialer(connectTimeout)
 	for {
 		conn, err := d.DialContext(ctx, "tcp", address)
 		var slow net.Error
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -39,7 +39,8 @@
 	mostAccepted   = 512     // sessions
 )
 
-// Handler answers a peer call. Its error reaches the peer as text.
+// Handler answers a peer call. Its error reaches the peer as text. Its context
+// ends with the mesh; see also Attend.
 type Handler func(ctx context.Context, from identity.Identity, body []byte) ([]byte, error)
 
 // Observer learns what the mesh sees of peers. Its methods must return soon.
@@ -62,6 +63,7 @@
 
 	mu       sync.Mutex
 	handlers map[kind.Kind]Handler
+	attended map[kind.Kind]bool // whose handlers end when their caller gives up
 	watcher  Observer
 	own      string              // the address that this mesh accepts on
 	dialed   map[string]*session // by address
@@ -84,6 +86,7 @@
 		log:      log,
 		handled:  make(chan struct{}, mostHandled),
 		handlers: make(map[kind.Kind]Handler),
+		attended: make(map[kind.Kind]bool),
 		watcher:  ignorer{},
 		dialed:   make(map[string]*session),
 		accepted: make(map[*session]struct{}),
@@ -109,6 +112,15 @@
 	m.handlers[k] = h
 }
 
+// Attend registers a handler like Handle, whose context also ends when the
+// caller gives the call up or its session ends. It is for work of which nobody
+// else makes use.
+func (m *Mesh) Attend(k kind.Kind, h Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[k], m.attended[k] = h, true
+}
+
 // Observe sets the observer. It is called before Serve.
 func (m *Mesh) Observe(o Observer) {
 	m.mu.Lock()
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -66,6 +66,68 @@
 	g.Expect(received).To(BeNumerically(">", 0))
 }
 
+// TestAttendedCallsEndWithTheirCaller has a caller give up, and one whose
+// session is cut. Only the context of an attended handler ends.
+func TestAttendedCallsEndWithTheirCaller(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := start(t, "a", 1, "127.0.0.1:0", nil)
+	b, address := start(t, "b", 2, "127.0.0.1:0", nil)
+	begun, ended := make(chan kind.Kind, 1), make(chan kind.Kind, 1)
+	wait := func(k kind.Kind) mesh.Handler {
+		return func(ctx context.Context, _ identity.Identity, _ []byte) ([]byte, error) {
+			begun <- k
+			<-ctx.Done()
+			ended <- k
+			return nil, ctx.Err()
+		}
+	}
+	b.Attend(kind.Part, wait(kind.Part))
+	b.Handle(kind.Pulse, wait(kind.Pulse))
+	for _, leave := range []func(context.CancelFunc){
+		func(cancel context.CancelFunc) { cancel() },
+		func(context.CancelFunc) { a.Cut() },
+	} {
+		for _, c := range []struct {
+			kind kind.Kind
+			ends bool
+		}{{kind.Part, true}, {kind.Pulse, false}} {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go a.Call(ctx, address, c.kind, &peerpb.Blob{}, &peerpb.Blob{})
+			g.Eventually(begun, 5*time.Second).Should(Receive(Equal(c.kind)))
+			g.Consistently(ended, 50*time.Millisecond).ShouldNot(Receive(), "its caller waits")
+			leave(cancel)
+			if c.ends {
+				g.Eventually(ended, 5*time.Second).Should(Receive(Equal(c.kind)))
+			} else {
+				g.Consistently(ended, 200*time.Millisecond).ShouldNot(Receive(), "what it does may not be given up")
+			}
+		}
+	}
+}
+
+// TestAttendedCallsAreAnswered checks that a handler which is slower than the
+// limit of a message is not taken for one whose caller left.
+func TestAttendedCallsAreAnswered(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := start(t, "a", 1, "127.0.0.1:0", nil)
+	b, address := start(t, "b", 2, "127.0.0.1:0", nil)
+	b.Attend(kind.Part, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+		select {
+		case <-time.After(6 * time.Second):
+			return body, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 9*time.Second)
+	defer cancel()
+	var out peerpb.Blob
+	_, err := a.Call(ctx, address, kind.Part, &peerpb.Blob{Data: []byte("x")}, &out)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.Data).To(Equal([]byte("x")))
+}
+
 func TestErrorsSayHowFarTheCallGot(t *testing.T) {
 	a, _ := start(t, "a", 1, "127.0.0.1:0", nil)
 	_, address := start(t, "b", 2, "127.0.0.1:0", nil)
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/liveness"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
@@ -43,6 +44,9 @@
 }
 
 func (m *Mesh) accept(ctx context.Context, raw net.Conn) {
+	if err := liveness.Guard(raw); err != nil {
+		m.log.Error(err, "a peer's silence is noticed late", "remote", raw.RemoteAddr().String())
+	}
 	meter := newMeter(raw, &m.bytes)
 	var conn net.Conn = meter
 	if m.tls != nil {
@@ -145,6 +149,11 @@
 	if err := read(stream, &req); err != nil {
 		return
 	}
+	if m.attends(kind.Kind(req.Kind)) {
+		var stop context.CancelFunc
+		ctx, stop = attend(ctx, stream)
+		defer stop()
+	}
 	resp := m.respond(ctx, from, &req)
 	if err := stream.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return
@@ -154,6 +163,33 @@
 	}
 }
 
+func (m *Mesh) attends(k kind.Kind) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.attended[k]
+}
+
+// attend returns a context that ends when the caller closes the stream of its
+// call or the session ends. Callers send nothing after their request.
+func attend(ctx context.Context, stream *yamux.Stream) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		var one [1]byte
+		for {
+			_, err := stream.Read(one[:])
+			if !errors.Is(err, yamux.ErrTimeout) {
+				return
+			}
+			// The deadline of the request has passed, which says nothing of the caller.
+			if stream.SetReadDeadline(time.Time{}) != nil {
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 func (m *Mesh) respond(ctx context.Context, from identity.Identity, req *peerpb.Request) *peerpb.Response {
 	select {
 	case m.handled <- struct{}{}:
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -38,7 +38,7 @@
 		d.hear(&roll, d.proof.Now())
 		return proto.Marshal(d.roll(now))
 	})
-	d.mesh.Handle(kind.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+	d.mesh.Attend(kind.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
 		if err := proto.Unmarshal(body, &in); err != nil {
 			return nil, err
