Yield endpoints to others that gather, and learn the room that they take

Cause: an instance that gathers for itself sends what it has to every endpoint that it takes for free. Load reports in the answers tell it: 0,0,1 while one gathers, 1,0,1 and 1,1,1 with two.

While endpoints of a service had work of others lately, an instance uses as many of them as full calls for what is asked of it need, less what the share of such answers says. stage/room estimates what others hold at an endpoint that had no room. The model of the experiment plays instances of unequal shares, none of which knows the room of the others.

--- a/internal/bench/gathering/gathering_test.go
+++ b/internal/bench/gathering/gathering_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// TestInstancesThatAreCutOffLeaveRoom replays loads before two instances that
+// cannot reach each other, and before six, and all gather. Heeding that others
+// use the endpoints as well must serve a quarter more in time.
+func TestInstancesThatAreCutOffLeaveRoom(t *testing.T) {
+	ways := gathering.Ways()
+	for _, s := range sites {
+		for _, load := range []float64{1, 2} {
+			for _, pair := range [][2]gathering.Way{{ways[2], ways[3]}, {ways[4], ways[5]}} {
+				alone, heeding := play(s, pair[0], load, 1), play(s, pair[1], load, 1)
+				NewWithT(t).Expect(heeding.Worth()).To(BeNumerically(">", 1.25*alone.Worth()), "%s, %s at %.1f: %s\nagainst %s", s.Name,
+					pair[1].Name, load, heeding, alone)
+			}
+		}
+	}
+}
+
 // TestNoClassStarves replays loads at which not all can be served. No class
 // may be served less than a quarter as often as all, and none much more often
 // than a more urgent one that needs the same services.
--- a/internal/bench/gathering/model.go
+++ b/internal/bench/gathering/model.go
@@ -3,6 +3,7 @@
 // This file plays a load against queues and endpoints.
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 	"github.com/jacinthstile/jacinthstile/internal/stage/queue"
+	"github.com/jacinthstile/jacinthstile/internal/stage/room"
 )
 
 const (
@@ -22,25 +24,37 @@
 	refused    = 60 * time.Millisecond  // that an instance waits which found an endpoint full
 	spread     = 0.5                    // of the times after which refused callers return
 	mostShare  = 3                      // part of the time left that a refused caller waits at most
-	roomShare  = 0.9                    // of an endpoint's room
+	six        = 6                      // instances of the smaller deployment
 )
 
 // Way is a way to gather stage work.
 type Way struct {
-	Name      string
-	Instances int  // that gather, each for its share of the requests
-	Blind     bool // every job is taken
+	Name   string
+	Shares []float64 // of the requests, one for each instance that gathers
+	Blind  bool      // every job is taken
+	Alone  bool      // instances do not heed that others use the endpoints as well
 }
 
 // Ways are what the experiment compares.
 func Ways() []Way {
 	return []Way{
-		{Name: "one gathers", Instances: 1},
-		{Name: "one gathers, all are taken", Instances: 1, Blind: true},
-		{Name: "each for itself", Instances: 6},
+		{Name: "one gathers", Shares: []float64{1}},
+		{Name: "one gathers, all are taken", Shares: []float64{1}, Blind: true},
+		{Name: "each for itself", Shares: equal(six), Alone: true},
+		{Name: "each for itself, heeding others", Shares: equal(six)},
+		{Name: "a third is cut off", Shares: []float64{2. / 3, 1. / 3}, Alone: true},
+		{Name: "a third is cut off, heeding others", Shares: []float64{2. / 3, 1. / 3}},
 	}
 }
 
+func equal(instances int) []float64 {
+	shares := make([]float64, instances)
+	for i := range shares {
+		shares[i] = 1 / float64(instances)
+	}
+	return shares
+}
+
 // Options are the load of one run.
 type Options struct {
 	Load   float64 // times the usual rates
@@ -70,15 +84,19 @@
 	service *Service
 	name    string
 	centre  string
-	held    int64
-	calls   []*call // under way and waiting, the first is worked on
-	asked   map[int]bool
+	held    int64                 // bytes of results
+	calls   []*call               // under way and waiting, the first is worked on
+	rooms   []room.Room           // as each instance knows it
+	asked   map[int]bool          // by instance
 	rests   map[int]time.Duration // by instance
+	slow    map[int]float64       // by instance: times as long as usual that its last call here took
 }
 
 type call struct {
 	instance int
 	pieces   []queue.Piece
+	unfit    []queue.Piece // that had no room
+	sent     time.Duration
 }
 
 type request struct {
@@ -119,7 +137,7 @@
 	m := &model{
 		site: s, way: w, opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), result: newResult(s), jobs: make(map[*job.Job]*request),
 	}
-	for range w.Instances {
+	for range w.Shares {
 		m.queues = append(m.queues, queue.New())
 	}
 	for i := range s.Services {
@@ -148,12 +166,29 @@
 		for i := range n {
 			m.workers = append(m.workers, &worker{
 				service: s, centre: name, name: fmt.Sprint(s.Name, centre, i), rests: make(map[int]time.Duration), asked: make(map[int]bool),
+				slow: make(map[int]float64), rooms: make([]room.Room, len(m.queues)),
 			})
 		}
 	}
-	for _, q := range m.queues {
-		q.Service(s.Name, s.Batch, centres)
+	s.centres = centres
+}
+
+// survey tells a queue of the endpoints of all services.
+func (m *model) survey(q *queue.Queue) {
+	for _, s := range m.site.Services {
+		q.Service(s.Name, s.Batch, s.centres, m.clock())
+	}
+}
+
+// instance draws the one that a request comes to.
+func (m *model) instance() int {
+	at := m.rng.Float64()
+	for i, share := range m.way.Shares {
+		if at -= share; at < 0 {
+			return i
+		}
 	}
+	return len(m.way.Shares) - 1
 }
 
 func (m *model) at(t time.Duration, do func()) { heap.Push(&m.events, event{at: t, do: do}) }
@@ -162,7 +197,7 @@
 func (m *model) clock() time.Time { return time.Unix(1000, 0).Add(m.now) }
 
 func (m *model) arrive(c *Class) {
-	r := &request{class: c, tally: m.result.Classes[c.Name], arrived: m.now, queue: m.rng.IntN(len(m.queues))}
+	r := &request{class: c, tally: m.result.Classes[c.Name], arrived: m.now, queue: m.instance()}
 	r.first = firstEvent
 	if m.opts.Reading > 0 {
 		r.first += time.Duration(float64(m.opts.Reading) * min(mostRead, m.rng.ExpFloat64()))
@@ -194,6 +229,7 @@
 	r.job = job.New(id, id, id, stages, pieces, c.Rank, start.Add(c.Goal-r.first-hop), start.Add(c.Deadline-r.first))
 	r.job.After = r.first
 	q := m.queues[r.queue]
+	m.survey(q)
 	v := q.Judge(r.job, m.clock())
 	if !v.Take && !m.way.Blind {
 		m.refuse(r, v.After)
@@ -228,20 +264,37 @@
 	return n
 }
 
-// dispatch gives work of an instance to the endpoints that it takes for free.
+// dispatch gives work of an instance to the endpoints that it takes for free,
+// those that were fast first, and to no more of a service than it should use.
 func (m *model) dispatch(instance int) {
 	q := m.queues[instance]
+	m.survey(q)
+	asked := make(map[string]int)
+	var free []*worker
 	for _, w := range m.workers {
-		if w.asked[instance] || m.now < w.rests[instance] || q.Waiting(w.service.Name) == 0 {
+		if w.asked[instance] {
+			asked[w.service.Name]++
+		} else if m.now >= w.rests[instance] {
+			free = append(free, w)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b *worker) int { return cmp.Compare(a.slow[instance], b.slow[instance]) })
+	for _, w := range free {
+		name := w.service.Name
+		if q.Waiting(name) == 0 || asked[name] >= q.Most(name) {
 			continue
 		}
-		room := int64(roomShare*float64(w.service.Batch.Room)) - w.held
-		pieces := q.Fill(queue.Worker{Service: w.service.Name, Centre: w.centre, Room: room, Slow: 1}, m.clock())
+		left := w.rooms[instance].Left(w.service.Batch.Room, m.clock())
+		pieces := q.Fill(queue.Worker{Service: name, Centre: w.centre, Room: left, Slow: 1}, m.clock())
 		if len(pieces) == 0 {
 			continue
 		}
+		for _, p := range pieces {
+			w.rooms[instance].Hold(sizeOf(p))
+		}
+		asked[name]++
 		w.asked[instance] = true
-		m.at(m.now+hop, func() { m.reach(w, &call{instance: instance, pieces: pieces}) })
+		m.at(m.now+hop, func() { m.reach(w, &call{instance: instance, pieces: pieces, sent: m.now - hop}) })
 	}
 }
 
@@ -252,6 +305,9 @@
 		m.at(m.now+hop, func() {
 			w.asked[c.instance] = false
 			w.rests[c.instance] = m.now + refused
+			for _, p := range c.pieces {
+				w.rooms[c.instance].Free(sizeOf(p))
+			}
 			m.again(c)
 			m.at(m.now+refused, func() { m.dispatch(c.instance) })
 		})
@@ -269,12 +325,21 @@
 	}
 }
 
+func sizeOf(p queue.Piece) int64 { return p.Job.Stages[p.Stage].Bytes }
+
 func (m *model) work(w *worker) {
 	c := w.calls[0]
 	took := w.service.Batch.Call
-	for _, p := range c.pieces {
+	asked := c.pieces
+	c.pieces = nil
+	for _, p := range asked {
+		if w.held+sizeOf(p) > w.service.Batch.Room {
+			c.unfit = append(c.unfit, p)
+			continue
+		}
+		c.pieces = append(c.pieces, p)
 		took += m.pieceTime(w, p)
-		w.held += p.Job.Stages[p.Stage].Bytes
+		w.held += sizeOf(p)
 	}
 	m.result.Calls++
 	m.result.Pieces += len(c.pieces)
@@ -282,13 +347,14 @@
 	if len(c.pieces) == w.service.Batch.Most {
 		m.result.Full++
 	}
-	share := took / time.Duration(len(c.pieces))
+	m.result.Unfit += len(c.unfit)
+	share := took / time.Duration(max(1, len(c.pieces)))
 	for _, p := range c.pieces {
 		if r := m.jobs[p.Job]; r != nil {
 			r.worked += share
 		}
 	}
-	m.at(m.now+took, func() { m.end(w, c) })
+	m.at(m.now+took, func() { m.end(w, c, took) })
 }
 
 func (m *model) pieceTime(w *worker, p queue.Piece) time.Duration {
@@ -299,25 +365,37 @@
 	return time.Duration(work * float64(w.service.Batch.Item))
 }
 
-func (m *model) end(w *worker, c *call) {
+// end answers a call that took so long once its turn had come.
+func (m *model) end(w *worker, c *call, took time.Duration) {
 	w.calls = w.calls[1:]
-	if len(w.calls) > 0 {
+	others := len(w.calls) > 0
+	if others {
 		m.work(w)
 	}
 	m.at(m.now+hop, func() {
 		w.asked[c.instance] = false
+		w.slow[c.instance] = (m.now - c.sent).Seconds() / took.Seconds()
+		m.queues[c.instance].Answered(w.service.Name, others && !m.way.Alone, m.clock())
 		for _, p := range c.pieces {
 			m.made(w, c.instance, p)
 		}
+		for _, p := range c.unfit {
+			w.rooms[c.instance].Free(sizeOf(p))
+			w.rooms[c.instance].Full(w.service.Batch.Room, m.clock())
+			m.queues[c.instance].Again(p)
+		}
 		m.dispatch(c.instance)
 	})
 }
 
 func (m *model) made(w *worker, instance int, p queue.Piece) {
-	size := p.Job.Stages[p.Stage].Bytes
+	size := sizeOf(p)
 	_, finished := m.queues[instance].Made(p, job.Result{Handle: w.name, Maker: w.name, Centre: w.centre, Bytes: size})
 	// The result is freed once the next stage, or the engine, has read it.
-	m.at(m.now+w.service.Batch.Call, func() { w.held -= size })
+	m.at(m.now+w.service.Batch.Call, func() {
+		w.held -= size
+		w.rooms[instance].Free(size)
+	})
 	if r := m.jobs[p.Job]; finished && r != nil {
 		delete(m.jobs, p.Job)
 		for i := range p.Job.Stages {
--- a/internal/bench/gathering/result.go
+++ b/internal/bench/gathering/result.go
@@ -16,6 +16,7 @@
 	Calls    int // at endpoints
 	Full     int // calls that held as many pieces as they can
 	Pieces   int
+	Unfit    int           // pieces that were asked for where they had no room
 	Refusals int           // calls that found their endpoint full
 	Busy     time.Duration // of all endpoints
 	Waste    time.Duration // of endpoints, on requests that were not served
--- a/internal/bench/gathering/site.go
+++ b/internal/bench/gathering/site.go
@@ -25,6 +25,8 @@
 	Name    string
 	Workers []int // endpoints by data centre
 	Batch   catalog.Batch
+
+	centres map[string]float64 // endpoints by name of the data centre
 }
 
 // Class is a kind of request.
--- a/internal/stage/desk/desk_test.go
+++ b/internal/stage/desk/desk_test.go
@@ -47,19 +47,19 @@
 var _ maker.Maker = (*maid)(nil)
 
 // Make makes all pieces, with handles that tell who asked.
-func (m *maid) Make(ctx context.Context, _ *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error) {
+func (m *maid) Make(ctx context.Context, _ *fleet.Endpoint, items []maker.Item) (maker.Answer, error) {
 	if m.hold != nil {
 		select {
 		case <-m.hold:
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return maker.Answer{}, ctx.Err()
 		}
 	}
 	out := make([]maker.Outcome, len(items))
 	for i := range items {
 		out[i].Handle = m.name + "/" + strconv.FormatInt(m.made.Add(1), 10)
 	}
-	return out, nil
+	return maker.Answer{Outcomes: out}, nil
 }
 
 // Free counts.
--- a/internal/stage/foreman/call.go
+++ b/internal/stage/foreman/call.go
@@ -42,7 +42,7 @@
 
 // dispatch gives work to all endpoints that are free. Services that were
 // surveyed at the same moment are not surveyed again.
-func (f *Foreman) dispatch(now time.Time, surveyed map[string][]idle) {
+func (f *Foreman) dispatch(now time.Time, surveyed map[string]survey) {
 	c := f.catalog()
 	if c == nil {
 		return
@@ -51,25 +51,27 @@
 		if s.Batch == nil || f.queue.Waiting(name) == 0 {
 			continue
 		}
-		list, known := surveyed[name]
+		v, known := surveyed[name]
 		if !known {
-			list = f.survey(name, s.Batch, now)
+			v = f.survey(name, s.Batch, now)
 		}
-		for _, e := range list {
-			if f.queue.Waiting(name) == 0 {
+		for _, e := range v.idle {
+			if f.queue.Waiting(name) == 0 || v.calls >= f.queue.Most(name) {
 				break
 			}
-			f.give(e, s.Batch, now)
+			if f.give(e, s.Batch, now) {
+				v.calls++
+			}
 		}
 	}
 }
 
-// give sends the next call to an endpoint.
-func (f *Foreman) give(e idle, b *catalog.Batch, now time.Time) {
+// give sends the next call to an endpoint, if the queue has one for it.
+func (f *Foreman) give(e idle, b *catalog.Batch, now time.Time) bool {
 	w := e.worker
-	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Centre: e.Centre, Room: w.room(b), Slow: e.slow}, now)
+	pieces := f.queue.Fill(queue.Worker{Service: e.Service, Centre: e.Centre, Room: w.room.Left(b.Room, now), Slow: e.slow}, now)
 	if len(pieces) == 0 {
-		return
+		return false
 	}
 	r := &running{
 		worker: w, endpoint: e.Endpoint, pieces: pieces, start: now,
@@ -81,11 +83,12 @@
 		r.bytes += p.Job.Stages[p.Stage].Bytes
 	}
 	w.calls++
-	w.held += r.bytes
+	w.room.Hold(r.bytes)
 	f.running[r] = struct{}{}
 	var ctx context.Context
 	ctx, r.cancel = context.WithTimeout(context.Background(), callLimit)
 	go f.call(ctx, r, items)
+	return true
 }
 
 func item(p queue.Piece, now time.Time) maker.Item {
@@ -100,7 +103,7 @@
 
 func (f *Foreman) call(ctx context.Context, r *running, items []maker.Item) {
 	defer r.cancel()
-	outcomes, err := f.maker.Make(ctx, r.endpoint, items)
+	answer, err := f.maker.Make(ctx, r.endpoint, items)
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,8 +118,9 @@
 	} else {
 		r.worker.ended(now.Sub(r.start), r.expected, now)
 		f.loseEarlier(r)
+		f.queue.Answered(r.endpoint.Service, answer.Calls > r.worker.calls+r.worker.overdue, now)
 		for i, p := range r.pieces {
-			f.outcome(r, p, outcomes[i], now)
+			f.outcome(r, p, answer.Outcomes[i], now)
 		}
 	}
 	f.dispatch(now, nil)
@@ -141,11 +145,14 @@
 	if kind == failure.Late {
 		time.AfterFunc(f.keep(r.endpoint.Service), func() { f.leave(r.worker, r.bytes) })
 	} else {
-		r.worker.held -= r.bytes
+		r.worker.room.Free(r.bytes)
 	}
 	if !r.lost {
 		r.worker.failed(kind == failure.Refused, now)
 	}
+	if kind == failure.Refused && r.worker.calls+r.worker.overdue == 0 {
+		f.queue.Answered(r.endpoint.Service, true, now)
+	}
 	f.log.Info("stage call failed", "endpoint", r.endpoint.ID, "pieces", len(r.pieces), "lost", r.lost,
 		"after", now.Sub(r.start).String(), "reason", err.Error())
 	for _, p := range r.pieces {
@@ -161,7 +168,7 @@
 		f.made(r, e, p, job.Result{Handle: o.Handle, Maker: r.endpoint.Name(), Centre: r.endpoint.Centre, Bytes: size})
 		return
 	}
-	r.worker.held -= size
+	r.worker.room.Free(size)
 	if e == nil || e.job != p.Job || p.Job.Ended || p.Job.Made[p.Stage][p.Index].Handle != "" {
 		return // nobody waits for it, or another call made it
 	}
@@ -178,7 +185,7 @@
 	case maker.Gone:
 		f.restart(e)
 	case maker.Room:
-		r.worker.full(now)
+		r.worker.full(f.roomOf(r.endpoint.Service), now)
 		f.queue.Again(p)
 	case maker.Late, maker.Fault:
 		f.queue.Again(p)
@@ -207,6 +214,14 @@
 	}
 }
 
+// roomOf is how many bytes of results endpoints of a service hold.
+func (f *Foreman) roomOf(service string) int64 {
+	if s := f.catalog().Services[service]; s != nil && s.Batch != nil {
+		return s.Batch.Room
+	}
+	return 0
+}
+
 // keep is how long endpoints of a service hold results.
 func (f *Foreman) keep(service string) time.Duration {
 	if s := f.catalog().Services[service]; s != nil && s.Batch != nil {
--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -128,8 +128,8 @@
 }
 
 // surveys surveys the services of a job.
-func (f *Foreman) surveys(c *catalog.Catalog, j *job.Job, now time.Time) map[string][]idle {
-	surveyed := make(map[string][]idle)
+func (f *Foreman) surveys(c *catalog.Catalog, j *job.Job, now time.Time) map[string]survey {
+	surveyed := make(map[string]survey)
 	for _, stage := range j.Stages {
 		s := c.Services[stage.Service]
 		if s == nil || s.Batch == nil {
--- a/internal/stage/foreman/foreman_test.go
+++ b/internal/stage/foreman/foreman_test.go
@@ -38,6 +38,8 @@
 	freed   int
 	handles int
 	highest int // results at one endpoint
+	most    int // calls under way at once, since the last look
+	others  int // calls of other instances that endpoints tell of
 	trouble func(e *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error, bool)
 	slow    map[string]time.Duration // beyond the usual time
 	loses   int                      // of how many calls the answer to one is lost; zero for none
@@ -48,7 +50,14 @@
 }
 
 // Make works for a call's time, and refuses where a call is under way already.
-func (s *shop) Make(ctx context.Context, e *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error) {
+func (s *shop) Make(ctx context.Context, e *fleet.Endpoint, items []maker.Item) (maker.Answer, error) {
+	out, err := s.work(ctx, e, items)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maker.Answer{Outcomes: out, Calls: s.others}, err
+}
+
+func (s *shop) work(ctx context.Context, e *fleet.Endpoint, items []maker.Item) ([]maker.Outcome, error) {
 	s.mu.Lock()
 	if s.trouble != nil {
 		if o, err, hit := s.trouble(e, items); hit {
@@ -62,6 +71,13 @@
 	}
 	s.busy[e.ID] = true
 	s.calls = append(s.calls, len(items))
+	busy := 0
+	for _, b := range s.busy {
+		if b {
+			busy++
+		}
+	}
+	s.most = max(s.most, busy)
 	number := len(s.calls)
 	took := callTime + time.Duration(len(items))*itemTime + s.slow[e.ID]
 	s.mu.Unlock()
@@ -207,6 +223,33 @@
 	})
 }
 
+// TestOthersAreLeftRoom has endpoints tell of other instances' calls: a light
+// load then goes to one endpoint, until they tell of none for a while.
+func TestOthersAreLeftRoom(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		load := func(others int) (most int) {
+			w.shop.mu.Lock()
+			w.shop.most, w.shop.others = 0, others
+			w.shop.mu.Unlock()
+			var all sync.WaitGroup
+			for range 20 {
+				j := w.job(1, 0, 2*time.Second)
+				all.Go(func() { w.prepare(j) })
+				time.Sleep(100 * time.Millisecond)
+			}
+			all.Wait()
+			w.shop.mu.Lock()
+			defer w.shop.mu.Unlock()
+			return w.shop.most
+		}
+		g.Expect(load(0)).To(Equal(2), "both endpoints are used")
+		load(1)
+		g.Expect(load(1)).To(Equal(1), "one is left to others")
+		load(0)
+		g.Expect(load(0)).To(Equal(2), "nobody else is there any more")
+	})
+}
+
 // TestCallsFillUnderLoad starts far more jobs than endpoints: all but the
 // first calls have to be full.
 func TestCallsFillUnderLoad(t *testing.T) {
--- a/internal/stage/foreman/free.go
+++ b/internal/stage/foreman/free.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if e == nil {
-		w.held -= r.Bytes
+		w.room.Free(r.Bytes)
 		return // it is gone, and the result with it
 	}
 	w.free = append(w.free, r.Handle)
@@ -89,7 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.frees--
-	w.held -= size
+	w.room.Free(size)
 	f.dispatch(time.Now(), nil)
 }
 
@@ -97,6 +97,6 @@
 func (f *Foreman) leave(w *worker, size int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.held -= size
+	w.room.Free(size)
 	f.dispatch(time.Now(), nil)
 }
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/stage/room"
 )
 
 const (
@@ -18,14 +19,13 @@
 	refusedOut = 60 * time.Millisecond  // that an endpoint rests which is full
 	failedOut  = 300 * time.Millisecond // that an endpoint rests after a failed call, doubled with each one more
 	mostOut    = 3 * time.Second
-	roomShare  = 0.9                    // of an endpoint's room that is used, since sizes are known roughly
 	roomOut    = 100 * time.Millisecond // that an endpoint rests which has no room for results
 )
 
 type worker struct {
-	calls    int     // under way, but for those that are overdue
-	overdue  int     // calls
-	held     int64   // bytes of results, those being made included
+	calls    int // under way, but for those that are overdue
+	overdue  int // calls
+	room     room.Room
 	slow     float64 // times as long as usual that calls took, 1 or more
 	slowAt   time.Time
 	failures int
@@ -62,9 +62,6 @@
 // only full is soon of use.
 func (w *worker) failing(now time.Time) bool { return w.failures > 0 && w.out(now) }
 
-// room returns the bytes of results that fit.
-func (w *worker) room(b *catalog.Batch) int64 { return int64(roomShare*float64(b.Room)) - w.held }
-
 // factor is how many times as long as usual the next call should take.
 func (w *worker) factor(now time.Time) float64 {
 	forgotten := math.Exp2(-now.Sub(w.slowAt).Seconds() / slowHalf.Seconds())
@@ -97,7 +94,11 @@
 	}
 }
 
-func (w *worker) full(now time.Time) { w.until = now.Add(roomOut) }
+// full records that the endpoint had no place for a result.
+func (w *worker) full(size int64, now time.Time) {
+	w.room.Full(size, now)
+	w.until = now.Add(roomOut)
+}
 
 // idle is an endpoint that can take a call.
 type idle struct {
@@ -106,22 +107,28 @@
 	slow   float64 // how many times as long as usual its next call should take
 }
 
-// survey tells the queue how many endpoints of a service are of use, and
-// returns those that can take a call, the fastest first.
-func (f *Foreman) survey(service string, b *catalog.Batch, now time.Time) []idle {
+// survey is what was seen of the endpoints of a service at one moment.
+type survey struct {
+	idle  []idle // that can take a call, the fastest first
+	calls int    // under way at all, but for those that are overdue
+}
+
+// survey tells the queue how many endpoints of a service are of use.
+func (f *Foreman) survey(service string, b *catalog.Batch, now time.Time) survey {
 	usable := make(map[string]float64)
-	var list []idle
+	var v survey
 	for _, e := range f.fleet().Of(service) {
 		w := f.worker(e)
 		slow := w.factor(now)
+		v.calls += w.calls
 		if !w.failing(now) {
 			usable[e.Centre] += float64(b.Calls) / slow
 		}
 		if w.calls < b.Calls && !w.out(now) {
-			list = append(list, idle{Endpoint: e, worker: w, slow: slow})
+			v.idle = append(v.idle, idle{Endpoint: e, worker: w, slow: slow})
 		}
 	}
-	f.queue.Service(service, *b, usable)
-	slices.SortStableFunc(list, func(a, b idle) int { return cmp.Compare(a.slow, b.slow) })
-	return list
+	f.queue.Service(service, *b, usable, now)
+	slices.SortStableFunc(v.idle, func(a, b idle) int { return cmp.Compare(a.slow, b.slow) })
+	return v
 }
--- a/internal/stage/maker/maker.go
+++ b/internal/stage/maker/maker.go
@@ -14,9 +14,9 @@
 
 // Maker calls endpoints that make pieces. It is safe for concurrent use.
 type Maker interface {
-	// Make asks an endpoint for pieces, in one call. The outcomes stand in the
-	// order of the items. The error is a *failure.Failure.
-	Make(ctx context.Context, e *fleet.Endpoint, items []Item) ([]Outcome, error)
+	// Make asks an endpoint for pieces, in one call. The error is a
+	// *failure.Failure.
+	Make(ctx context.Context, e *fleet.Endpoint, items []Item) (Answer, error)
 	// Free tells an endpoint that results are not needed any more.
 	Free(ctx context.Context, e *fleet.Endpoint, handles []string) error
 }
@@ -31,6 +31,12 @@
 	Inputs []string      // handles of results
 }
 
+// Answer is what an endpoint answered a call with.
+type Answer struct {
+	Outcomes []Outcome // in the order of the items
+	Calls    int       // that the endpoint worked on, or that waited there, besides this one; zero if it does not tell
+}
+
 // Outcome is a handle, or the reason why there is none.
 type Outcome struct {
 	Handle string
--- a/internal/stage/queue/admit.go
+++ b/internal/stage/queue/admit.go
@@ -127,6 +127,7 @@
 	for i, s := range j.Stages {
 		if l := q.line(s.Service); j.Open[i] > 0 {
 			l.taken.note(j.Rank, !v.Take && l == narrow, now)
+			l.crowd.asked(j.Open[i], now)
 		}
 	}
 	return v
--- a/internal/stage/queue/queue.go
+++ b/internal/stage/queue/queue.go
@@ -39,11 +39,13 @@
 	batch   catalog.Batch
 	workers float64            // calls that the endpoints can work on at once; one that is slow counts for less
 	centres map[string]float64 // the same by data centre
+	calls   int                // that should be under way at once at most
 	groups  []*group
 	waiting int     // pieces in groups
 	coming  int     // pieces of admitted jobs whose earlier stages are not made
 	batched float64 // moving mean of the pieces in a call
 	taken   taken
+	crowd   crowd
 }
 
 // group is the pieces of one stage of one job that wait.
@@ -61,12 +63,22 @@
 
 // Service sets what is known of a service: how its endpoints work, and how many
 // calls the usable ones can work on at once in each data centre, where one that
-// takes twice as long as usual counts for half a call.
-func (q *Queue) Service(name string, b catalog.Batch, centres map[string]float64) {
+// takes twice as long as usual counts for half a call. While other instances use
+// them as well only a part of them is reckoned with.
+func (q *Queue) Service(name string, b catalog.Batch, centres map[string]float64, now time.Time) {
 	l := q.line(name)
-	l.batch, l.centres, l.workers = b, centres, 0
+	l.batch = b
+	all := 0.0
 	for _, n := range centres {
-		l.workers += n
+		all += n
+	}
+	l.calls = l.most(now)
+	l.workers = min(all, float64(l.calls))
+	l.centres = make(map[string]float64, len(centres))
+	for centre, n := range centres {
+		if n > 0 {
+			l.centres[centre] = n * l.workers / all
+		}
 	}
 }
 
--- a/internal/stage/queue/queue_test.go
+++ b/internal/stage/queue/queue_test.go
@@ -27,7 +27,7 @@
 
 func newQueue(centres map[string]float64) *queue.Queue {
 	q := queue.New()
-	q.Service("s", batch, centres)
+	q.Service("s", batch, centres, start)
 	return q
 }
 
@@ -51,6 +51,29 @@
 	g.Expect(q.Waiting("s")).To(BeZero())
 }
 
+// TestCrowdedServiceIsUsedAsFarAsNeeded feeds jobs at a steady rate, with and
+// without other instances at the endpoints. A full call of 10 pieces takes 300 ms.
+func TestCrowdedServiceIsUsedAsFarAsNeeded(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct{ perSecond, want int }{{1, 1}, {20, 1}, {40, 2}, {60, 3}} {
+		q := newQueue(map[string]float64{"a": 4, "b": 4})
+		now := start
+		for range 6 * c.perSecond {
+			now = now.Add(time.Second / time.Duration(c.perSecond))
+			j := job.New("j", "j", "key", []catalog.Stage{{Service: "s", Bytes: 10}}, []int{1}, 0, now.Add(2*time.Second), now.Add(3*time.Second))
+			g.Expect(q.Judge(j, now).Take).To(BeTrue())
+		}
+		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
+		g.Expect(q.Most("s")).To(BeNumerically(">=", 8), "nobody else is there")
+		q.Others("s", now)
+		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
+		g.Expect(q.Most("s")).To(Equal(c.want), "%d a second", c.perSecond)
+		now = now.Add(2 * time.Second)
+		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
+		g.Expect(q.Most("s")).To(BeNumerically(">=", 8), "nobody else was seen for two seconds")
+	}
+}
+
 func TestCallsHoldWhatFits(t *testing.T) {
 	g := NewWithT(t)
 	q := newQueue(map[string]float64{"a": 2})
