--- a/internal/stage/queue/queue_test.go
+++ b/internal/stage/queue/queue_test.go
@@ -65,9 +65,14 @@
 		}
 		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
 		g.Expect(q.Most("s")).To(BeNumerically(">=", 8), "nobody else is there")
-		q.Others("s", now)
+		q.Answered("s", true, now)
 		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
 		g.Expect(q.Most("s")).To(Equal(c.want), "%d a second", c.perSecond)
+		for range 50 {
+			q.Answered("s", true, now)
+		}
+		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
+		g.Expect(q.Most("s")).To(Equal(1), "%d a second, and others are met everywhere", c.perSecond)
 		now = now.Add(2 * time.Second)
 		q.Service("s", batch, map[string]float64{"a": 4, "b": 4}, now)
 		g.Expect(q.Most("s")).To(BeNumerically(">=", 8), "nobody else was seen for two seconds")
