Hand the gathering on where the processor turns slow

Jobs take 1.2 to 1.7 times the prediction; it answers whoever asks whether it lives, so all follow it on.

Tried as the sign of it, from logs: how late 50 ms ticks are (9 to 25 ms on the slow one, up to 18 on calm ones: too close); the share of waits of goroutines above 5 ms (20 to 30 % against 1.5, but it tells of load as well, and all are strained after a loss of power); the shortest time of a fixed piece of work in a second (539 to 888 us against 88 to 158, on whoever is slow, busy or not). The last one is built: stage/pace, one measurement of some 25 us each 0.3 s. Who is slow says that others are better placed, as one that is cut off from the store does.

--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
+	"github.com/jacinthstile/jacinthstile/internal/stage/pace"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
 
@@ -27,8 +28,9 @@
 	start := time.Now()
 	tick := time.NewTicker(askSoon)
 	defer tick.Stop()
+	var p pace.Pace
 	for round := 0; ; round++ {
-		d.election.SetState(d.fit(), d.doubts())
+		d.election.SetState(d.fit(), d.doubts() || d.slows(&p))
 		d.askAll(ctx, round%askOther == 0 || !d.follows() || time.Since(start) < settle)
 		d.follow(time.Now())
 		if d.follows() || time.Since(start) > settle {
@@ -51,6 +53,16 @@
 	return !known || d.lag.Behind(own, d.proof.Now()) || !d.reaches()
 }
 
+// slows measures the processor, and reports whether it is slow.
+func (d *Desk) slows(p *pace.Pace) bool {
+	before := p.Slow()
+	p.Note(pace.Work())
+	if p.Slow() != before {
+		d.log.Info("processor changed its pace", "slow", p.Slow(), "factor", p.Factor())
+	}
+	return p.Slow()
+}
+
 // hear takes in the proof of an instance that was asked, or that asked, at a
 // moment.
 func (d *Desk) hear(roll *stagepb.Roll, asked time.Duration) (at time.Duration, ok bool) {
