Tell changes of endpoints from instance to instance

Change: the answer of the instance that gathers brings the changes after the revision that the asker knows (edge/history keeps the last 256; a catalog is not told, since it may be large). What an instance is told it can tell in turn. While the store is away for it and for the one that it follows it rests 1.5 s at most, since that one tells of the return.

Tests that fail first: TestToldChangesSpareCalls, TestStoreThatIsAwayForAllIsAskedSeldom; TestChangesAreToldByTheInstanceThatGathers over loopback; TestChangesWithAGapAreNotTaken. The kinds of change moved to edge/change, since the witness brings them.

--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -17,7 +17,9 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/change"
 	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
 	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 )
@@ -36,6 +38,9 @@
 	trusted    = 1500 * time.Millisecond // age up to which a witness's proof stands in for a watch of its own
 	leastPause = 100 * time.Millisecond  // before the store is asked again after a failure
 	mostPause  = 500 * time.Millisecond
+	// toldPause is the most while a witness is heard: what only this instance
+	// reaches again is late by so much.
+	toldPause = 1500 * time.Millisecond
 )
 
 // Follower follows one source. Run is called once.
@@ -46,6 +51,7 @@
 	fleet   *fleet.Fleet
 	publish func(*catalog.Catalog)
 	log     logr.Logger
+	history *history.History // of the changes that are known, for others
 
 	asked   time.Duration // when the source was last asked, by the proof's clock
 	version uint64        // of the catalog in force
@@ -58,15 +64,18 @@
 
 // New returns a follower that hands each catalog in force to publish. While
 // the witness's proofs are young it only asks the source for changes of which
-// the witness knows.
+// the witness knows and does not tell.
 func New(s Source, w *witness.Witness, p *proof.Proof, f *fleet.Fleet, publish func(*catalog.Catalog), log logr.Logger) *Follower {
-	return &Follower{source: s, witness: w, proof: p, fleet: f, publish: publish, log: log}
+	return &Follower{source: s, witness: w, proof: p, fleet: f, publish: publish, log: log, history: history.New()}
 }
 
 // Revision returns the revision up to which changes are known, once all before
 // it are.
 func (f *Follower) Revision() uint64 { return f.known.Load() }
 
+// History returns the changes that are known, for others.
+func (f *Follower) History() *history.History { return f.history }
+
 // Run follows the source until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	wait := leastPause
@@ -78,23 +87,50 @@
 			continue
 		}
 		f.fail(err)
-		pause.For(ctx, wait/2+rand.N(wait/2))
+		f.rest(ctx, wait)
 		wait = min(mostPause, 2*wait)
 	}
 }
 
+// rest waits before the source is asked again: for longer while a witness is
+// heard that lost the source as well, since it tells when it is back.
+func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+	if _, ok := f.witness.Last(); ok {
+		wait = toldPause
+	}
+	timer := time.NewTimer(wait/2 + rand.N(wait/2))
+	defer timer.Stop()
+	for {
+		select {
+		case <-f.witness.News():
+			if news, ok := f.witness.Last(); ok && f.proof.Now()-news.At <= trusted {
+				return
+			}
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
 	wait, gap := watchWait, watchGap
-	switch revision, at, ok := f.witness.Last(); {
-	case !ok || f.proof.Now()-at > trusted:
-	case revision <= f.at:
+	switch news, ok := f.witness.Last(); {
+	case !ok || f.proof.Now()-news.At > trusted:
+	case news.Revision <= f.at:
 		f.regain("another instance knows that nothing changed")
-		f.proof.Renew(at)
+		f.proof.Renew(news.At)
 		f.idle(ctx)
 		return nil
+	case news.Told && news.After <= f.at:
+		f.regain("another instance told the changes")
+		f.take(news.Changes, news.Revision)
+		f.proof.Renew(news.At)
+		return nil
 	default:
 		wait, gap = probeWait, toldGap // the change is there already
 	}
@@ -129,7 +165,7 @@
 	f.regain("it answered")
 	var endpoints []fleet.Endpoint
 	for _, c := range changes {
-		if r, ok := c.(Registered); ok {
+		if r, ok := c.(change.Registered); ok {
 			endpoints = append(endpoints, r.Endpoint)
 			continue
 		}
@@ -138,6 +174,7 @@
 	f.fleet.Sync(endpoints, time.Now())
 	f.log.Info("store listed", "revision", at, "endpoints", len(endpoints))
 	f.at, f.listed = at, true
+	f.history.Reset(at)
 	f.known.Store(at)
 	f.proof.Renew(asked)
 	return nil
@@ -158,9 +195,7 @@
 		return err
 	}
 	f.regain("it answered")
-	f.applyAll(changes)
-	f.at = max(f.at, at)
-	f.known.Store(f.at)
+	f.take(changes, at)
 	// An answer without changes was given when the wait was over.
 	if len(changes) == 0 && f.proof.Now()-asked >= wait {
 		asked += wait
@@ -169,28 +204,31 @@
 	return nil
 }
 
-// applyAll takes changes into force that came together.
-func (f *Follower) applyAll(changes []Change) {
+// take takes changes into force that came together and lead to a revision.
+func (f *Follower) take(changes []change.Change, at uint64) {
 	release := f.fleet.Hold()
-	defer release()
 	for _, c := range changes {
 		f.apply(c)
 	}
+	release()
+	f.history.Add(changes, at)
+	f.at = max(f.at, at)
+	f.known.Store(f.at)
 }
 
 // apply takes one change into force.
-func (f *Follower) apply(c Change) {
+func (f *Follower) apply(c change.Change) {
 	switch c := c.(type) {
-	case Published:
+	case change.Published:
 		f.adopt(c.Catalog)
-	case Registered:
+	case change.Registered:
 		e := c.Endpoint
 		f.log.Info("endpoint registered", "endpoint", e.ID, "service", e.Service, "state", e.State.String(), "born", e.Born)
 		f.fleet.Put(e)
-	case Unregistered:
+	case change.Unregistered:
 		gone := f.fleet.Remove(c.ID, time.Now())
 		f.log.Info("endpoint unregistered", "endpoint", c.ID, "gone", gone)
-	case Unreadable:
+	case change.Unreadable:
 		f.log.Info("entry ignored", "endpoint", c.Endpoint, "reason", c.Reason.Error(), "version", f.version)
 		if c.Endpoint != "" {
 			f.fleet.Remove(c.Endpoint, time.Now())
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"github.com/jacinthstile/jacinthstile/internal/edge/change"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -38,7 +39,7 @@
 	state   state
 	version uint64
 	ready   map[string]bool
-	events  []follower.Change
+	events  []change.Change
 	calls   atomic.Int64
 }
 
@@ -57,11 +58,11 @@
 		return
 	}
 	delete(s.ready, id)
-	s.events = append(s.events, follower.Unregistered{ID: id})
+	s.events = append(s.events, change.Unregistered{ID: id})
 }
 
-func registered(id string) follower.Registered {
-	return follower.Registered{Endpoint: fleet.Endpoint{ID: id, Service: "s", Address: id + ":1", Centre: "c", Slots: 1, State: fleet.Ready}}
+func registered(id string) change.Registered {
+	return change.Registered{Endpoint: fleet.Endpoint{ID: id, Service: "s", Address: id + ":1", Centre: "c", Slots: 1, State: fleet.Ready}}
 }
 
 func (s *store) publish(version uint64) {
@@ -71,8 +72,8 @@
 	s.events = append(s.events, published(version))
 }
 
-func published(version uint64) follower.Published {
-	return follower.Published{Catalog: catalog.New(version, nil, nil, nil, false, catalog.Limits{})}
+func published(version uint64) change.Published {
+	return change.Published{Catalog: catalog.New(version, nil, nil, nil, false, catalog.Limits{})}
 }
 
 func (s *store) enter(ctx context.Context) error {
@@ -92,7 +93,7 @@
 	}
 }
 
-func (s *store) List(ctx context.Context) ([]follower.Change, uint64, error) {
+func (s *store) List(ctx context.Context) ([]change.Change, uint64, error) {
 	if err := s.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -101,14 +102,14 @@
 	if s.state == compacted {
 		s.state = sound
 	}
-	list := []follower.Change{published(s.version)}
+	list := []change.Change{published(s.version)}
 	for id := range s.ready {
 		list = append(list, registered(id))
 	}
 	return list, uint64(len(s.events)), nil
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Change, uint64, error) {
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]change.Change, uint64, error) {
 	if err := s.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -134,12 +135,13 @@
 
 // world is a follower of a store, in a bubble.
 type world struct {
-	store   *store
-	proof   *proof.Proof
-	witness *witness.Witness
-	version atomic.Uint64
-	index   atomic.Pointer[fleet.Index]
-	handed  atomic.Int64 // times that the endpoints were handed out
+	store    *store
+	proof    *proof.Proof
+	witness  *witness.Witness
+	follower *follower.Follower
+	version  atomic.Uint64
+	index    atomic.Pointer[fleet.Index]
+	handed   atomic.Int64 // times that the endpoints were handed out
 }
 
 func (w *world) uses(id string) bool {
@@ -147,6 +149,14 @@
 	return e != nil && e.Takes()
 }
 
+// hear has the witness prove some times that nothing changed.
+func (w *world) hear(times int) {
+	for range times {
+		w.witness.Hear(witness.News{At: w.proof.Now()})
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 // play runs a follower of a store with one catalog and two endpoints.
 func play(t *testing.T, f func(g *WithT, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -158,11 +168,11 @@
 			w.handed.Add(1)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		f2 := follower.New(w.store, w.witness, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
+		w.follower = follower.New(w.store, w.witness, w.proof, members, func(c *catalog.Catalog) { w.version.Store(c.Version) }, logr.Discard())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			f2.Run(ctx)
+			w.follower.Run(ctx)
 		}()
 		time.Sleep(2 * time.Second)
 		f(NewWithT(t), w)
@@ -246,7 +256,7 @@
 func TestUnreadableEntriesNameNoEndpoint(t *testing.T) {
 	play(t, func(g *WithT, w *world) {
 		w.store.mu.Lock()
-		w.store.events = append(w.store.events, follower.Unreadable{Endpoint: "b", Reason: errDown}, follower.Unreadable{Reason: errDown})
+		w.store.events = append(w.store.events, change.Unreadable{Endpoint: "b", Reason: errDown}, change.Unreadable{Reason: errDown})
 		w.store.mu.Unlock()
 		time.Sleep(50 * time.Millisecond)
 		g.Expect(w.uses("a")).To(BeTrue())
@@ -262,7 +272,7 @@
 		revision := uint64(0)
 		hear := func(n int) {
 			for range n {
-				w.witness.Hear(revision, w.proof.Now()-200*time.Millisecond)
+				w.witness.Hear(witness.News{Revision: revision, At: w.proof.Now() - 200*time.Millisecond})
 				time.Sleep(300 * time.Millisecond)
 				g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
 			}
@@ -286,12 +296,12 @@
 // force within 1 s, by less than two calls a second.
 func TestToldOfManyChangesAsksSeldom(t *testing.T) {
 	play(t, func(g *WithT, w *world) {
-		w.witness.Hear(0, w.proof.Now())
+		w.witness.Hear(witness.News{Revision: 0, At: w.proof.Now()})
 		time.Sleep(2 * time.Second) // a watch of its own may have been under way
 		before := w.store.calls.Load()
 		for i := range 40 {
 			w.store.register(fmt.Sprint("n", i), true)
-			w.witness.Hear(uint64(i+1), w.proof.Now())
+			w.witness.Hear(witness.News{Revision: uint64(i + 1), At: w.proof.Now()})
 			time.Sleep(300 * time.Millisecond)
 			if i >= 3 {
 				g.Expect(w.uses(fmt.Sprint("n", i-3))).To(BeTrue(), "change %d", i-3)
@@ -301,6 +311,50 @@
 	})
 }
 
+// TestToldChangesSpareCalls has a witness tell of a change each time that it is
+// heard, as while a service is released: each is in force at once and the store
+// is not asked at all.
+func TestToldChangesSpareCalls(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.hear(10) // a watch of its own may have been under way
+		before := w.store.calls.Load()
+		for i := range uint64(40) {
+			id := fmt.Sprint("n", i)
+			w.witness.Hear(witness.News{
+				Revision: i + 1, At: w.proof.Now(), Changes: []change.Change{registered(id)}, After: i, Told: true,
+			})
+			time.Sleep(300 * time.Millisecond)
+			g.Expect(w.uses(id)).To(BeTrue())
+			g.Expect(w.proof.Within(revoke / 2)).To(BeTrue())
+		}
+		g.Expect(w.store.calls.Load()).To(Equal(before))
+		w.witness.Hear(witness.News{
+			Revision: 41, At: w.proof.Now(), Changes: []change.Change{change.Unregistered{ID: "a"}, registered("c")}, After: 38, Told: true,
+		})
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(w.uses("a")).To(BeFalse(), "some changes were known already")
+		g.Expect(w.uses("c")).To(BeTrue())
+		list, to, ok := w.follower.History().Since(0)
+		g.Expect(ok).To(BeTrue(), "it can tell others in turn")
+		g.Expect(to).To(BeEquivalentTo(41))
+		g.Expect(len(list)).To(BeNumerically(">=", 42))
+	})
+}
+
+// TestChangesWithAGapAreNotTaken has a witness tell changes that begin after
+// more than this instance knows: it asks the store.
+func TestChangesWithAGapAreNotTaken(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		w.hear(10)
+		w.store.register("c", true)
+		w.store.register("b", false)
+		w.witness.Hear(witness.News{Revision: 2, At: w.proof.Now(), Changes: []change.Change{change.Unregistered{ID: "b"}}, After: 1, Told: true})
+		time.Sleep(700 * time.Millisecond)
+		g.Expect(w.uses("c")).To(BeTrue())
+		g.Expect(w.uses("b")).To(BeFalse())
+	})
+}
+
 // TestTurnedAwayWithAWitnessAsksSeldom has a store that turns this instance
 // away and serves its witness: as long as nothing changes it is not asked, and
 // what is known counts as current.
@@ -310,7 +364,7 @@
 		time.Sleep(2 * time.Second) // it takes notice
 		hear := func(n int) {
 			for range n {
-				w.witness.Hear(0, w.proof.Now()-200*time.Millisecond)
+				w.witness.Hear(witness.News{Revision: 0, At: w.proof.Now() - 200*time.Millisecond})
 				time.Sleep(300 * time.Millisecond)
 			}
 		}
@@ -325,6 +379,27 @@
 	})
 }
 
+// TestStoreThatIsAwayForAllIsAskedSeldom takes the store away from this instance
+// and from its witness, which hears of its return first.
+func TestStoreThatIsAwayForAllIsAskedSeldom(t *testing.T) {
+	play(t, func(g *WithT, w *world) {
+		at := w.proof.Now()
+		w.witness.Hear(witness.News{At: at})
+		w.store.set(down)
+		time.Sleep(2 * time.Second) // it takes notice
+		before := w.store.calls.Load()
+		for range 40 {
+			w.witness.Hear(witness.News{At: at})
+			time.Sleep(300 * time.Millisecond)
+		}
+		g.Expect(w.store.calls.Load()-before).To(BeNumerically("<=", 16), "calls in 12 s")
+		g.Expect(w.proof.Within(revoke)).To(BeFalse())
+		w.witness.Hear(witness.News{At: w.proof.Now()})
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(w.proof.Within(revoke)).To(BeTrue())
+	})
+}
+
 // TestOldProofsOfAWitnessGrantNothing cuts this instance off from the store,
 // with a witness that is cut off as well.
 func TestOldProofsOfAWitnessGrantNothing(t *testing.T) {
@@ -332,7 +407,7 @@
 		w.store.set(silent)
 		at := w.proof.Now()
 		for range 30 {
-			w.witness.Hear(0, at)
+			w.witness.Hear(witness.News{Revision: 0, At: at})
 			time.Sleep(300 * time.Millisecond)
 		}
 		g.Expect(w.proof.Within(revoke)).To(BeFalse())
--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
@@ -36,6 +37,7 @@
 	proof    *proof.Proof
 	witness  *witness.Witness
 	revision func() uint64 // up to which this instance knows the store
+	history  *history.History
 	log      logr.Logger
 
 	asked sync.Map // addresses with a question under way
@@ -55,6 +57,7 @@
 	Reaches  func() bool // whether it reaches the endpoints of stages; others may be better placed
 	Proof    *proof.Proof
 	Revision func() uint64    // up to which this instance knows the store
+	History  *history.History // of the changes that it knows
 	Witness  *witness.Witness // is told the proofs of the instance that gathers
 }
 
@@ -63,7 +66,7 @@
 func New(self string, local *gatherer.Gatherer, e *election.Election, m *mesh.Mesh, s State, log logr.Logger) *Desk {
 	d := &Desk{
 		self: self, local: local, election: e, mesh: m, fit: s.Fit, reaches: s.Reaches, lag: lag.New(), proof: s.Proof,
-		witness: s.Witness, revision: s.Revision, log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
+		witness: s.Witness, revision: s.Revision, history: s.History, log: log, remotes: make(map[string]*remote), begun: make(chan struct{}),
 	}
 	d.settled = sync.OnceFunc(func() { close(d.begun) })
 	d.handle()
--- a/internal/stage/desk/desk_test.go
+++ b/internal/stage/desk/desk_test.go
@@ -17,7 +17,9 @@
 	"github.com/jacinthstile/jacinthstile/internal/base/boottime"
 	"github.com/jacinthstile/jacinthstile/internal/edge/call"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/change"
 	"github.com/jacinthstile/jacinthstile/internal/edge/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proof"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
@@ -72,8 +74,11 @@
 type instance struct {
 	*desk.Desk
 	*maid
-	address string
-	stop    func()
+	address  string
+	history  *history.History
+	witness  *witness.Witness
+	revision atomic.Uint64
+	stop     func()
 }
 
 // world is what all instances know.
@@ -116,9 +121,12 @@
 	current := proof.New(boottime.Now)
 	current.Renew(current.Now())
 	candidate := election.Candidate{Address: in.address, Power: power, Since: w.started}
+	in.history, in.witness = history.New(), witness.New()
+	in.history.Reset(1)
 	in.Desk = desk.New(in.address, gatherer.New(f, prompt.New(), catalogNow, fleetNow, logr.Discard()),
 		election.New(candidate, []string{w.seed}), m, desk.State{
-			Fit: func() bool { return true }, Reaches: f.Reaches, Proof: current, Revision: func() uint64 { return 1 }, Witness: witness.New(),
+			Fit: func() bool { return true }, Reaches: f.Reaches, Proof: current, Revision: func() uint64 { return max(1, in.revision.Load()) },
+			History: in.history, Witness: in.witness,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
@@ -221,6 +229,36 @@
 		Should(BeTrue(), "what was made for it is freed")
 }
 
+// TestChangesAreToldByTheInstanceThatGathers changes what it knows of the store.
+func TestChangesAreToldByTheInstanceThatGathers(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	weak, strong := w.start(t, &maid{name: "weak"}, 100), w.start(t, &maid{name: "strong"}, 400)
+	changes := []change.Change{
+		change.Registered{Endpoint: fleet.Endpoint{
+			ID: "e", Born: 7, Service: "s", Address: "10.0.0.1:80", Centre: "a", Slots: 3, State: fleet.Draining,
+		}},
+		change.Unregistered{ID: "f"},
+	}
+	strong.history.Add(changes, 5)
+	strong.revision.Store(5)
+	told := func() bool {
+		n, ok := weak.witness.Last()
+		return ok && n.Revision == 5
+	}
+	g.Eventually(told, soon).Should(BeTrue())
+	n, _ := weak.witness.Last()
+	g.Expect(n.Told).To(BeTrue())
+	g.Expect(n.After).To(BeEquivalentTo(1))
+	g.Expect(n.Changes).To(Equal(changes))
+	strong.history.Add([]change.Change{change.Published{}}, 6)
+	strong.revision.Store(6)
+	g.Eventually(func() bool {
+		n, ok := weak.witness.Last()
+		return ok && n.Revision == 6 && !n.Told
+	}, soon).Should(BeTrue(), "a catalog is not told")
+}
+
 // TestAloneAnInstanceGathersForItself starts one whose seeds do not answer.
 func TestAloneAnInstanceGathersForItself(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/pace"
@@ -97,16 +98,19 @@
 func (d *Desk) askOne(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	roll := new(stagepb.Roll)
+	own, roll := d.roll(time.Now()), new(stagepb.Roll)
 	asked := d.proof.Now()
-	if _, err := d.mesh.Call(ctx, address, kind.StageRoll, d.roll(time.Now()), roll); err != nil {
+	if _, err := d.mesh.Call(ctx, address, kind.StageRoll, own, roll); err != nil {
 		d.election.Failed(address)
 		return
 	}
 	now := time.Now()
 	d.election.Answered(address, decodeRoll(roll, now), now)
 	if at, ok := d.hear(roll, asked); ok && d.election.Leader(now) == address {
-		d.witness.Hear(roll.Revision, at)
+		changes, known := decodeChanges(roll.Changes)
+		d.witness.Hear(witness.News{
+			Revision: roll.Revision, At: at, Changes: changes, After: own.Revision, Told: roll.Told && known,
+		})
 	}
 }
 
--- a/internal/stage/desk/serve.go
+++ b/internal/stage/desk/serve.go
@@ -36,7 +36,7 @@
 		now := time.Now()
 		d.election.Heard(decodeRoll(&roll, now))
 		d.hear(&roll, d.proof.Now())
-		return proto.Marshal(d.roll(now))
+		return proto.Marshal(d.tellChanges(d.roll(now), roll.Revision))
 	})
 	d.mesh.Attend(kind.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
