--- a/internal/stage/foreman/foreman.go
+++ b/internal/stage/foreman/foreman.go
@@ -41,6 +41,7 @@
 	queue   *queue.Queue
 	jobs    map[string]*entry
 	workers map[string]*worker // by name of the endpoint
+	crowded map[string]bool    // services that other instances use as well
 	running map[*running]struct{}
 	frees   int // calls that free results, waiting or under way
 }
@@ -63,7 +64,8 @@
 func New(c func() *catalog.Catalog, f func() *fleet.Index, m maker.Maker, log logr.Logger) *Foreman {
 	return &Foreman{
 		catalog: c, fleet: f, maker: m, log: log, queue: queue.New(),
-		jobs: make(map[string]*entry), workers: make(map[string]*worker), running: make(map[*running]struct{}),
+		jobs: make(map[string]*entry), workers: make(map[string]*worker), crowded: make(map[string]bool),
+		running: make(map[*running]struct{}),
 	}
 }
 
--- a/internal/stage/foreman/worker.go
+++ b/internal/stage/foreman/worker.go
@@ -129,6 +129,10 @@
 		}
 	}
 	f.queue.Service(service, *b, usable, now)
+	if crowded, share := f.queue.Crowded(service, now); crowded != f.crowded[service] {
+		f.crowded[service] = crowded
+		f.log.Info("others at the endpoints of a service", "service", service, "crowded", crowded, "share", share, "calls", f.queue.Most(service))
+	}
 	slices.SortStableFunc(v.idle, func(a, b idle) int { return cmp.Compare(a.slow, b.slow) })
 	return v
 }
--- a/internal/stage/queue/crowd.go
+++ b/internal/stage/queue/crowd.go
@@ -57,10 +57,22 @@
 	c.shared += sharedGain * (seen - c.shared)
 }
 
+// crowded reports whether other instances used the endpoints lately.
+func (c *crowd) crowded(now time.Time) bool {
+	return !c.others.IsZero() && now.Sub(c.others) <= crowdFor
+}
+
+// Crowded reports whether other instances used the endpoints of a service
+// lately, and the share of answers that told so.
+func (q *Queue) Crowded(service string, now time.Time) (bool, float64) {
+	c := &q.line(service).crowd
+	return c.crowded(now), c.shared
+}
+
 // most returns how many calls should be under way at once at most.
 func (l *line) most(now time.Time) int {
 	c := &l.crowd
-	if c.others.IsZero() || now.Sub(c.others) > crowdFor {
+	if !c.crowded(now) {
 		return math.MaxInt
 	}
 	perCall := float64(l.batch.Most) / l.full().Seconds()
