Settle once an instance could gather, not at its start

The 0.6 s in which an instance waits to hear of others were counted from its start, 2 s before.

Change: they are counted from when it could gather or hears of one that does, and are 0.15 s at least, since the first that answers may not be the one that all follow. Orders wait 0.6 s at most.

Test that fails first: TestInstancesThatBecomeFitTogetherFollowOne (each of five gathered).

--- a/internal/stage/desk/desk.go
+++ b/internal/stage/desk/desk.go
@@ -75,10 +75,8 @@
 
 // Prepare makes the inputs of a call and chooses its engine.
 func (d *Desk) Prepare(ctx context.Context, r proxy.Round) (proxy.Prepared, error) {
-	select {
-	case <-d.begun:
-	case <-ctx.Done():
-		return proxy.Prepared{}, ctx.Err()
+	if err := d.awaitSettled(ctx); err != nil {
+		return proxy.Prepared{}, err
 	}
 	for range mostLeaders {
 		leader := d.election.Leader(time.Now())
@@ -94,6 +92,25 @@
 	return d.own(ctx, r)
 }
 
+// awaitSettled waits until this instance has settled, for as long as that
+// should take at most.
+func (d *Desk) awaitSettled(ctx context.Context) error {
+	select {
+	case <-d.begun:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(settle)
+	defer timer.Stop()
+	select {
+	case <-d.begun:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 // own has this instance gather.
 func (d *Desk) own(ctx context.Context, r proxy.Round) (proxy.Prepared, error) {
 	o := orderOf(r)
--- a/internal/stage/desk/desk_test.go
+++ b/internal/stage/desk/desk_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -78,6 +79,7 @@
 	history  *history.History
 	witness  *witness.Witness
 	revision atomic.Uint64
+	unfit    atomic.Bool
 	stop     func()
 }
 
@@ -105,12 +107,17 @@
 // the one that started last gathers, where none does yet.
 func (w *world) start(t *testing.T, own *maid, power int) *instance {
 	t.Helper()
-	m, closeMesh := mesh.New(identity.Identity{Name: own.name, Incarnation: 1, Seat: -1}, nil, logr.Discard())
+	return w.run(t, &instance{maid: own}, power)
+}
+
+func (w *world) run(t *testing.T, in *instance, power int) *instance {
+	t.Helper()
+	m, closeMesh := mesh.New(identity.Identity{Name: in.name, Incarnation: 1, Seat: -1}, nil, logr.Discard())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	in := &instance{address: l.Addr().String(), maid: own}
+	in.address = l.Addr().String()
 	if w.seed == "" {
 		w.seed = in.address
 	}
@@ -125,7 +132,7 @@
 	in.history.Reset(1)
 	in.Desk = desk.New(in.address, gatherer.New(f, prompt.New(), catalogNow, fleetNow, logr.Discard()),
 		election.New(candidate, []string{w.seed}), m, desk.State{
-			Fit: func() bool { return true }, Reaches: f.Reaches, Proof: current, Revision: func() uint64 { return max(1, in.revision.Load()) },
+			Fit: func() bool { return !in.unfit.Load() }, Reaches: f.Reaches, Proof: current, Revision: func() uint64 { return max(1, in.revision.Load()) },
 			History: in.history, Witness: in.witness,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
@@ -259,6 +266,42 @@
 	}, soon).Should(BeTrue(), "a catalog is not told")
 }
 
+// TestInstancesThatBecomeFitTogetherFollowOne has all wait for their first
+// catalog, as while the store is away after all were killed. Once it is there
+// none gathers for itself.
+func TestInstancesThatBecomeFitTogetherFollowOne(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	var all []*instance
+	for i := range 5 {
+		in := &instance{maid: &maid{name: strconv.Itoa(i)}}
+		in.unfit.Store(true)
+		all = append(all, w.run(t, in, 400))
+	}
+	time.Sleep(1500 * time.Millisecond) // longer than any instance waits for others at its start
+	for _, in := range all {
+		in.unfit.Store(false)
+	}
+	makers := make(chan string, len(all))
+	for i, in := range all {
+		go func() {
+			p, err := in.Prepare(t.Context(), w.round("r"+strconv.Itoa(i), 5*time.Second))
+			if err != nil {
+				makers <- err.Error()
+				return
+			}
+			makers <- strings.Split(p.Inputs[0], "/")[0]
+		}()
+	}
+	seen := make(map[string]bool)
+	for range all {
+		var m string
+		g.Eventually(makers, soon).Should(Receive(&m))
+		seen[m] = true
+	}
+	g.Expect(seen).To(HaveLen(1), "%v gathered", seen)
+}
+
 // TestAloneAnInstanceGathersForItself starts one whose seeds do not answer.
 func TestAloneAnInstanceGathersForItself(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/stage/desk/follow.go
+++ b/internal/stage/desk/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/witness"
 	"github.com/jacinthstile/jacinthstile/internal/peer/kind"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -18,32 +19,55 @@
 	askOther = 4                      // every how many questions to the leader the other candidates are asked
 	askLimit = 400 * time.Millisecond // of one question
 	askSoon  = 60 * time.Millisecond  // between questions while this instance settles
-	// Settle is the time from the start within which an instance waits to hear
-	// of another that gathers.
+	// settle is how long an instance that could gather waits to hear of another
+	// one: two questions, and the time within which a store that is back answers
+	// all instances.
 	settle = 600 * time.Millisecond
+	// hear is how long it waits at least to hear of all: two questions and their
+	// answers, since the first that answers may not be the one that all follow.
+	hear = 150 * time.Millisecond
 )
 
-// Run asks the candidates until the context ends.
+// Run asks the candidates until the context ends. Until this instance could
+// gather itself it asks now and then; from then on it settles: it asks often, and
+// its orders wait until it has heard of another one to follow or the time is over.
+// Many that become fit at the same moment, since the store is back, would each
+// gather for itself otherwise.
 func (d *Desk) Run(ctx context.Context) {
 	go d.local.Run(ctx)
-	start := time.Now()
-	tick := time.NewTicker(askSoon)
-	defer tick.Stop()
+	var since time.Time // that it could gather, or follow one that does; zero before
 	var p pace.Pace
-	for round := 0; ; round++ {
-		d.election.SetState(d.fit(), d.doubts() || d.slows(&p))
-		d.askAll(ctx, round%askOther == 0 || !d.follows() || time.Since(start) < settle)
-		d.follow(time.Now())
-		if d.follows() || time.Since(start) > settle {
+	for round := 0; ctx.Err() == nil; round++ {
+		now, fit := time.Now(), d.fit()
+		if since.IsZero() && (fit || d.follows()) {
+			since = now
+		}
+		settling := since.IsZero() || now.Sub(since) <= hear || now.Sub(since) <= settle && !d.follows()
+		d.election.SetState(fit, d.doubts() || d.slows(&p))
+		d.askAll(ctx, round%askOther == 0 || !d.follows() || settling)
+		d.follow(now)
+		if !settling {
 			d.settled()
-			d.election.Claim(time.Now())
-			tick.Reset(askEvery)
+			d.election.Claim(now)
 		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
+		d.rest(ctx, fit, settling)
+	}
+}
+
+// rest waits for the next round, which comes soon while this instance settles,
+// and once it becomes fit.
+func (d *Desk) rest(ctx context.Context, fit, settling bool) {
+	switch {
+	case !fit:
+		for range askEvery / askSoon {
+			if !pause.For(ctx, askSoon) || d.fit() {
+				return
+			}
 		}
+	case settling:
+		pause.For(ctx, askSoon)
+	default:
+		pause.For(ctx, askEvery)
 	}
 }
 
@@ -79,7 +103,7 @@
 func (d *Desk) follows() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.leader != d.self
+	return d.leader != "" && d.leader != d.self
 }
 
 // askAll asks those who have answered the last question, or left it unanswered
