--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -100,10 +101,12 @@
 // connect tries anew where a try stays without an answer. The kernel would send
 // a first packet that was lost, or came before the peer was up, again after 1 s.
 // A time-out that the kernel reports is not one of a try: it may come at once.
+// The dialer reports its own in two ways.
 func connect(ctx context.Context, try func(ctx context.Context, network, address string) (net.Conn, error), address string) (net.Conn, error) {
 	for {
 		conn, err := try(ctx, "tcp", address)
-		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+		late := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+		if err == nil || ctx.Err() != nil || !late {
 			return conn, err
 		}
 	}
--- a/internal/peer/mesh/retry_test.go
+++ b/internal/peer/mesh/retry_test.go
@@ -25,6 +25,7 @@
 		{"reported by the kernel", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}, 1},
 		{"refused", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 1},
 		{"no answer in time", &net.OpError{Op: "dial", Err: context.DeadlineExceeded}, 3},
+		{"no answer in time, as the poller tells it", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, 3},
 	} {
 		tries := 0
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
