Keep the deadline of a call whose ticket was issued during a stop

Cause: TestGracefulStopCutsNothing failed once beside load. A ticket issued after Stop began lived only for the drain time (0.5 s), and the deadline of its call was cut to that expiry although the service takes 1 s: the caller got "unknown" after 0.48 s. Ruled out: the deadline of the stop itself, which waits for running calls. Change: a stopping instance limits the time within which a new ticket can be used, not the expiry that is signed into it. The pause bound (no call is sent after the expiry of its ticket) and the at-most-once claim are unchanged.

--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -31,7 +31,7 @@
 	}
 	defer close(d.stopped)
 	drain := d.config.Bounds.DrainTime.Duration()
-	d.tickets.LimitLife(drain)
+	d.tickets.LimitUnused(drain)
 	d.log.Info("stopping: reporting not ready, accepting requests until the load balancer stops sending them", "drain", d.config.Bounds.DrainTime)
 	d.waitForLoadBalancer(ctx, drain)
 	unusedUntil := time.Now().Add(drain)
--- a/internal/ticket/issuer/issuer.go
+++ b/internal/ticket/issuer/issuer.go
@@ -58,7 +58,7 @@
 	resolve Resolver
 	log     logr.Logger
 
-	maxLife atomic.Int64 // longest validity of a new ticket, as a time.Duration; zero for no limit
+	maxUnused atomic.Int64 // longest time until a new ticket is used, as a time.Duration; zero for no limit
 }
 
 // New returns an issuer that keeps its tickets in s.
@@ -68,15 +68,16 @@
 	return &Issuer{self: self, secret: secret, store: s, run: run, peers: peers, resolve: resolve, log: log}
 }
 
-// Issue returns the text and the expiry of a new ticket for an account. The error
-// is a *fault.Fault.
+// Issue returns the text of a new ticket for an account, and the time until which it
+// can be used. The error is a *fault.Fault.
 func (i *Issuer) Issue(account string, life time.Duration) (string, time.Time, error) {
-	if maxLife := time.Duration(i.maxLife.Load()); maxLife > 0 {
-		life = min(life, maxLife)
+	usable := life
+	if limit := time.Duration(i.maxUnused.Load()); limit > 0 {
+		usable = min(life, limit)
 	}
 	now := time.Now()
 	expiry := now.Add(life).Truncate(time.Millisecond)
-	number, err := i.store.Issue(now, now.Add(life))
+	number, err := i.store.Issue(now, now.Add(usable))
 	if err != nil {
 		return "", time.Time{}, err
 	}
@@ -87,12 +88,13 @@
 		Expiry:      expiry,
 		Account:     account,
 	}
-	return t.Sign(i.secret), expiry, nil
+	return t.Sign(i.secret), now.Add(usable).Truncate(time.Millisecond), nil
 }
 
-// LimitLife limits the validity of tickets issued from now on, so that an instance
-// that is stopping can wait until all its tickets have expired.
-func (i *Issuer) LimitLife(maxLife time.Duration) { i.maxLife.Store(int64(maxLife)) }
+// LimitUnused limits the time within which tickets issued from now on can be used, so
+// that an instance that is stopping can wait until none is left. A call that begins in
+// time keeps the deadline that its ticket would have had without the limit.
+func (i *Issuer) LimitUnused(limit time.Duration) { i.maxUnused.Store(int64(limit)) }
 
 // Running returns the number of calls that run under tickets of this issuer.
 func (i *Issuer) Running() int { return i.store.Running() }
--- a/internal/ticket/issuer/issuer_test.go
+++ b/internal/ticket/issuer/issuer_test.go
@@ -377,3 +377,30 @@
 	}
 	return ""
 }
+
+// TestTicketOfAStoppingInstanceRunsToItsDeadline guards against cutting the deadline
+// of a call to the short time within which a ticket of a stopping instance can be used:
+// the endpoint takes longer than that time, and the call would get class "unknown".
+func TestTicketOfAStoppingInstanceRunsToItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		cl := newCluster("a")
+		cl.issuers["a"].LimitUnused(500 * time.Millisecond)
+		text, until, err := cl.issuers["a"].Issue("acme", life)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Until(until)).To(BeNumerically("<=", 500*time.Millisecond))
+		cl.delay = time.Second
+		_, f := cl.send("a", text, "r1", "x")
+		g.Expect(f).To(BeNil())
+		g.Expect(cl.runs["x"]).To(Equal(1))
+
+		unused, _, err := cl.issuers["a"].Issue("acme", life)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(cl.issuers["a"].Unused()).To(BeZero())
+		_, f = cl.send("a", unused, "r2", "y")
+		g.Expect(f).NotTo(BeNil())
+		g.Expect(f.Code).To(Equal(code.TicketExpired))
+		g.Expect(cl.runs["y"]).To(BeZero())
+	})
+}
