--- a/internal/edge/freshness/tracker.go
+++ b/internal/edge/freshness/tracker.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// Reset drops the last confirmation: the newest configuration is not the one in force.
+func (t *Tracker) Reset() { t.at.Store(0) }
+
 // ConfirmedAt returns the time of the last confirmation, and false if there was none.
 func (t *Tracker) ConfirmedAt() (time.Duration, bool) {
 	at := t.at.Load()
--- a/internal/edge/history/history.go
+++ b/internal/edge/history/history.go
@@ -14,6 +14,7 @@
 	"sync"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 )
 
 // maxChanges is the number of changes that are kept. It covers a few seconds
@@ -21,45 +22,46 @@
 // 30 kB.
 const maxChanges = 256
 
-// History holds the changes between two revisions of the store without a gap; the
-// later one is the newest revision that is known. It is safe for concurrent use.
+// History holds the changes between two positions of the store, of the same era,
+// without a gap; the later one is the newest position that is known. It is safe for concurrent use.
 type History struct {
 	mu      sync.Mutex
-	batches []batch // oldest first
-	from    uint64  // all changes after this revision are kept
-	to      uint64  // newest known revision
-	size    int     // number of changes in batches
+	batches []batch           // oldest first
+	from    position.Position // all changes after this position are kept
+	to      position.Position // newest known position
+	size    int               // number of changes in batches
 }
 
 // batch holds the changes of one answer of the store.
 type batch struct {
-	to      uint64 // revision that the changes lead to
+	to      position.Position // position that the changes lead to
 	changes []change.Change
 }
 
-// New returns an empty history that begins at revision 0.
+// New returns an empty history that begins at the zero position.
 func New() *History { return new(History) }
 
-// Reset drops all changes and makes the history begin at revision at. It is called
-// after the store was listed, as the changes up to that revision are then unknown.
-func (h *History) Reset(at uint64) {
+// Reset drops all changes and makes the history begin at a position. It is called
+// after the store was listed, as the changes up to that position are then unknown.
+func (h *History) Reset(at position.Position) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reset(at)
 }
 
-func (h *History) reset(at uint64) { h.batches, h.from, h.to, h.size = nil, at, at, 0 }
+func (h *History) reset(at position.Position) { h.batches, h.from, h.to, h.size = nil, at, at, 0 }
 
-// Add appends the changes from the newest known revision to revision to; it does
+// Add appends the changes from the newest known position to the position to; it does
 // nothing if to is not newer. If the list contains a catalog, which is too large
-// to pass on, or more than maxChanges changes, the history begins anew at to.
-func (h *History) Add(list []change.Change, to uint64) {
+// to pass on, or more than maxChanges changes, or if to is of another era, the
+// history begins anew at to.
+func (h *History) Add(list []change.Change, to position.Position) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if to <= h.to {
+	if to.Compare(h.to) <= 0 {
 		return
 	}
-	if !shareable(list) || len(list) > maxChanges {
+	if !shareable(list) || len(list) > maxChanges || to.Era != h.to.Era {
 		h.reset(to)
 		return
 	}
@@ -91,18 +93,18 @@
 	return true
 }
 
-// Since returns all changes after a revision and the newest known revision, or
-// false if some of these changes are no longer kept or after is newer than the
-// newest known revision. The list may begin with changes that the caller already
+// Since returns all changes after a position and the newest known position, or
+// false if some of these changes are no longer kept, or after is of another era or
+// newer than the newest known position. The list may begin with changes that the caller already
 // knows; applying all of them in order leads to the same state.
-func (h *History) Since(after uint64) (list []change.Change, to uint64, ok bool) {
+func (h *History) Since(after position.Position) (list []change.Change, to position.Position, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if after < h.from || after > h.to {
-		return nil, 0, false
+	if after.Era != h.to.Era || after.Before(h.from) || h.to.Before(after) {
+		return nil, position.Position{}, false
 	}
 	for _, b := range h.batches {
-		if b.to > after {
+		if after.Before(b.to) {
 			list = append(list, b.changes...)
 		}
 	}
--- a/internal/edge/peerstatus/latest.go
+++ b/internal/edge/peerstatus/latest.go
@@ -1,8 +1,9 @@
-// Package peerstatus holds the latest report of another instance about the store,
-// so that not every instance has to read the store itself. A report says which
-// revision of the store was the newest at which time. An instance that knows all
-// changes up to that revision was up to date at that time. The package does no
-// I/O.
+// Package peerstatus holds what other instances report about the store, so that not
+// every instance has to read the store itself. A report says which position of the
+// store was the newest at which time. An instance that knows all changes up to that
+// position was up to date at that time. Reports also tell an instance what a store
+// that came back from a copy has lost: the newest version of the catalog that any
+// instance has in force, and when the era began. The package does no I/O.
 package peerstatus
 
 // This file defines Latest and Report.
@@ -12,30 +13,44 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 )
 
 // Report is a report of another instance about the store.
 type Report struct {
-	Revision uint64 // newest revision of the store at the time ConfirmedAt
+	Position position.Position // newest position of the store at the time ConfirmedAt
+	Version  uint64            // version of the catalog that the other instance has in force
 	// ConfirmedAt is a time of this instance's boot clock: the time at which the
 	// other instance was asked, less the age that it gave for its confirmation.
 	ConfirmedAt time.Duration
-	// Changes lists all changes from revision After to Revision if Complete is true.
+	// Changes lists all changes from position After to Position if Complete is true.
 	Changes  []change.Change
-	After    uint64
+	After    position.Position
 	Complete bool
 }
 
-// Latest holds the latest report. It is safe for concurrent use.
+// Known is what some instance of the fleet knows. Each field only rises.
+type Known struct {
+	Version    uint64        // newest version of the catalog that any instance has in force
+	Era        uint64        // newest era of the store
+	EraBeganAt time.Duration // on this instance's boot clock; zero if no instance saw the era begin
+}
+
+// Latest holds the latest report of the leader and what all instances together know.
+// It is safe for concurrent use.
 type Latest struct {
 	mu      sync.Mutex
 	report  Report
-	known   bool          // whether there is a report
+	known   bool // whether there is a report
+	fleet   Known
 	updates chan struct{} // buffers one element
+	heard   chan struct{} // closed at the first call of Observe
 }
 
 // New returns a Latest without a report.
-func New() *Latest { return &Latest{updates: make(chan struct{}, 1)} }
+func New() *Latest {
+	return &Latest{updates: make(chan struct{}, 1), heard: make(chan struct{})}
+}
 
 // Set replaces the report and notifies the receiver of Updated.
 func (l *Latest) Set(r Report) {
@@ -66,3 +81,32 @@
 // Updated returns a channel that receives an element after each call of Set. Calls
 // in quick succession may be combined into one element.
 func (l *Latest) Updated() <-chan struct{} { return l.updates }
+
+// Observe records what another instance knows. Any instance may tell it, not only the
+// one whose reports are followed.
+func (l *Latest) Observe(k Known) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.Version = max(l.fleet.Version, k.Version)
+	switch {
+	case k.Era > l.fleet.Era:
+		l.fleet.Era, l.fleet.EraBeganAt = k.Era, k.EraBeganAt
+	case k.Era == l.fleet.Era:
+		l.fleet.EraBeganAt = max(l.fleet.EraBeganAt, k.EraBeganAt)
+	}
+	select {
+	case <-l.heard:
+	default:
+		close(l.heard)
+	}
+}
+
+// Fleet returns what all instances together are known to know.
+func (l *Latest) Fleet() Known {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet
+}
+
+// Heard returns a channel that is closed once another instance has told what it knows.
+func (l *Latest) Heard() <-chan struct{} { return l.heard }
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -107,7 +107,7 @@
 		h.g.Expect(publisher.Publish(all)).To(gomega.Succeed())
 	})
 	for i := range endpoints {
-		f.Put(registry.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready})
+		f.Put(registry.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready}, time.Now())
 	}
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -1,7 +1,10 @@
 // Package registry keeps the endpoints that are registered in the platform's
 // metadata store and their states. It answers outages of the store: registrations
 // that expire while endpoints cannot renew them don't remove these endpoints from
-// service. Callers pass the time in; the package does no I/O.
+// service. It also answers a store that comes back from a copy some seconds old: an
+// endpoint that left is not used again because the copy still has it, and one that
+// registered after the copy stays in use while it can register again. Callers pass the
+// time in; the package does no I/O.
 package registry
 
 // This file defines Registry and how registrations change it.
@@ -27,6 +30,8 @@
 	lapsed      map[string]time.Time // when the registration of a lapsed endpoint went missing, by id
 	unreachable bool                 // whether the store is unreachable
 	reachedAt   time.Time            // end of the last outage of the store; zero if there was none
+	departed    departures
+	hidden      map[string]Endpoint // registrations in a copy of the store that had been removed, by id
 	onChange    func([]*Endpoint)
 	held        bool // whether calls of onChange are delayed
 	pending     bool // whether a delayed call is due
@@ -36,7 +41,10 @@
 // after each change, or once at the release of Hold. It holds a lock during the
 // call, so onChange must not call methods of the registry.
 func New(onChange func([]*Endpoint)) *Registry {
-	return &Registry{endpoints: make(map[string]*Endpoint), lapsed: make(map[string]time.Time), onChange: onChange}
+	return &Registry{
+		endpoints: make(map[string]*Endpoint), lapsed: make(map[string]time.Time), departed: newDepartures(),
+		hidden: make(map[string]Endpoint), onChange: onChange,
+	}
 }
 
 // Hold delays the call of onChange until release is called, which then makes one
@@ -56,19 +64,46 @@
 	}
 }
 
-// Put adds or replaces a registration.
-func (r *Registry) Put(e Endpoint) {
+// Put adds or replaces a registration. A process that said that it leaves stays
+// Draining, whatever its registration says.
+func (r *Registry) Put(e Endpoint, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(e)
+	delete(r.departed.removed, e.Name())
+	r.put(e, now)
 	r.publish()
 }
 
-func (r *Registry) put(e Endpoint) {
+func (r *Registry) put(e Endpoint, now time.Time) {
 	delete(r.lapsed, e.ID)
+	delete(r.hidden, e.ID)
+	if e.State == Draining {
+		r.departed.markLeaving(e.Name(), now)
+	} else if r.departed.isLeaving(&e) {
+		e.State = Draining
+	}
 	r.endpoints[e.ID] = &e
 }
 
+// MarkLeaving records that the process with this Endpoint.Name said that it leaves:
+// it is Draining from now on. It reports whether that was not known yet.
+func (r *Registry) MarkLeaving(name string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.departed.markLeaving(name, now) {
+		return false
+	}
+	for id, e := range r.endpoints {
+		if e.Name() == name && e.State != Draining {
+			leaving := *e
+			leaving.State = Draining
+			r.endpoints[id] = &leaving
+			r.publish()
+		}
+	}
+	return true
+}
+
 // Remove records that a registration is missing, and reports whether the endpoint
 // was removed. While the store is unreachable, and for ReregisterTimeout after
 // that, an endpoint that was not draining is kept as Lapsed instead.
@@ -81,13 +116,13 @@
 }
 
 func (r *Registry) remove(id string, now time.Time) bool {
+	delete(r.hidden, id)
 	e, known := r.endpoints[id]
 	if !known {
 		return true
 	}
 	if e.State == Draining || !r.settling(now) {
-		delete(r.endpoints, id)
-		delete(r.lapsed, id)
+		r.drop(id, now)
 		return true
 	}
 	if _, ok := r.lapsed[id]; !ok {
@@ -99,16 +134,55 @@
 	return false
 }
 
+// drop removes an endpoint and its lapse, and remembers that it was removed.
+func (r *Registry) drop(id string, now time.Time) {
+	r.departed.removed[r.endpoints[id].Name()] = now
+	delete(r.endpoints, id)
+	delete(r.lapsed, id)
+}
+
 // Sync replaces all registrations by a complete list. Endpoints that are not in
 // the list are treated as by Remove.
 func (r *Registry) Sync(list []Endpoint, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sync(list, now)
+}
+
+// SyncRestored replaces all registrations by a complete list of a store that came back
+// from a copy. The copy may lack registrations and still have some that were removed:
+// an endpoint that is missing is kept as after an outage, and one that was removed
+// stays so until it registers again, or until its registration in the copy has not
+// expired for removalRetention. A registration of an earlier process than the known
+// one counts as missing.
+func (r *Registry) SyncRestored(list []Endpoint, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reachedAt = now
+	var believed, hidden []Endpoint
+	for _, e := range list {
+		known := r.endpoints[e.ID]
+		switch {
+		case known != nil && e.StartTime < known.StartTime:
+		case r.departed.wasRemoved(e.Name(), now):
+			hidden = append(hidden, e)
+		default:
+			believed = append(believed, e)
+		}
+	}
+	r.sync(believed, now)
+	for _, e := range hidden {
+		r.hidden[e.ID] = e
+	}
+}
+
+func (r *Registry) sync(list []Endpoint, now time.Time) {
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.ID] = true
-		r.put(e)
+		r.put(e, now)
 	}
+	clear(r.hidden)
 	for id := range r.endpoints {
 		if !present[id] {
 			r.remove(id, now)
@@ -135,22 +209,33 @@
 }
 
 // RemoveExpired removes the lapsed endpoints that did not register again within
-// ReregisterTimeout after the end of an outage, and returns their ids.
+// ReregisterTimeout after the end of an outage, and returns their ids. It also makes
+// the endpoints available whose registration in a restored store has not expired.
 func (r *Registry) RemoveExpired(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.departed.prune(now)
+	r.revealHidden(now)
 	if len(r.lapsed) == 0 || r.settling(now) {
 		return nil
 	}
 	gone := slices.Sorted(maps.Keys(r.lapsed))
 	for _, id := range gone {
-		delete(r.endpoints, id)
+		r.drop(id, now)
 	}
-	clear(r.lapsed)
 	r.publish()
 	return gone
 }
 
+func (r *Registry) revealHidden(now time.Time) {
+	for id, e := range r.hidden {
+		if !r.departed.wasRemoved(e.Name(), now) {
+			r.put(r.hidden[id], now)
+			r.publish()
+		}
+	}
+}
+
 // settling reports whether a missing registration may be due to an outage of the
 // store.
 func (r *Registry) settling(now time.Time) bool {
--- a/internal/edge/registry/registry_test.go
+++ b/internal/edge/registry/registry_test.go
@@ -40,8 +40,8 @@
 	g := NewWithT(t)
 	r, s := newRegistry()
 	release := r.Hold()
-	r.Put(ready("a"))
-	r.Put(ready("b"))
+	r.Put(ready("a"), start)
+	r.Put(ready("b"), start)
 	r.Remove("a", start)
 	g.Expect(s.calls).To(BeZero())
 	release()
@@ -49,7 +49,7 @@
 	g.Expect(s.last).To(Equal(map[string]registry.State{"b": registry.Ready}))
 	r.Hold()()
 	g.Expect(s.calls).To(Equal(1), "nothing changed")
-	r.Put(ready("c"))
+	r.Put(ready("c"), start)
 	g.Expect(s.calls).To(Equal(2))
 }
 
@@ -60,7 +60,7 @@
 	g := NewWithT(t)
 	r, s := newRegistry()
 	for _, id := range []string{"a", "b", "c", "d"} {
-		r.Put(ready(id))
+		r.Put(ready(id), start)
 	}
 	g.Expect(r.Remove("a", start)).To(BeTrue(), "the store is reachable, so the registration was removed")
 	r.SetUnreachable()
@@ -68,9 +68,59 @@
 	g.Expect(r.Remove("c", start)).To(BeFalse())
 	g.Expect(s.last).To(Equal(map[string]registry.State{"b": registry.Lapsed, "c": registry.Lapsed, "d": registry.Ready}))
 	r.SetReachable(start)
-	r.Put(ready("b"))
+	r.Put(ready("b"), start)
 	g.Expect(r.RemoveExpired(start.Add(registry.ReregisterTimeout/2))).To(BeEmpty(), "c may still register again")
 	g.Expect(r.RemoveExpired(start.Add(registry.ReregisterTimeout))).To(Equal([]string{"c"}))
 	g.Expect(s.last).To(Equal(map[string]registry.State{"b": registry.Ready, "d": registry.Ready}))
 	g.Expect(r.Remove("d", start.Add(registry.ReregisterTimeout))).To(BeTrue())
 }
+
+// TestRestoredRegistrations guards against believing a copy of the store that is some
+// seconds old: about a process that said that it leaves, one that was removed, and one
+// that was replaced under the same id.
+func TestRestoredRegistrations(t *testing.T) {
+	g := NewWithT(t)
+	r, s := newRegistry()
+	process := func(id string, startTime int64) registry.Endpoint {
+		e := ready(id)
+		e.StartTime = startTime
+		return e
+	}
+	for _, id := range []string{"leaving", "removed", "replaced", "new"} {
+		r.Put(process(id, 1), start)
+	}
+	g.Expect(r.MarkLeaving("leaving@1", start)).To(BeTrue())
+	g.Expect(r.MarkLeaving("leaving@1", start)).To(BeFalse(), "known already")
+	g.Expect(s.last).To(HaveKeyWithValue("leaving", registry.Draining))
+	r.Remove("removed", start)
+	r.Put(process("replaced", 2), start)
+
+	now := start.Add(time.Second)
+	r.SyncRestored([]registry.Endpoint{process("leaving", 1), process("removed", 1), process("replaced", 1)}, now)
+	g.Expect(s.last).To(Equal(map[string]registry.State{
+		"leaving": registry.Draining, "replaced": registry.Lapsed, "new": registry.Lapsed,
+	}))
+	r.Put(process("replaced", 2), now)
+	g.Expect(r.RemoveExpired(now.Add(registry.ReregisterTimeout))).To(Equal([]string{"new"}))
+	g.Expect(s.last).To(Equal(map[string]registry.State{"leaving": registry.Draining, "replaced": registry.Ready}))
+
+	r.RemoveExpired(now.Add(time.Minute))
+	g.Expect(s.last).To(HaveKeyWithValue("removed", registry.Ready), "its registration has not expired, so the process lives")
+	r.Put(process("leaving", 1), now)
+	g.Expect(s.last).To(HaveKeyWithValue("leaving", registry.Draining))
+	r.Put(process("leaving", 2), now)
+	g.Expect(s.last).To(HaveKeyWithValue("leaving", registry.Ready), "the next process under the same id")
+}
+
+// TestRemovedRegistrationReturns guards against keeping a live endpoint out of use
+// because its registration had been removed: one that registers again is used at once.
+func TestRemovedRegistrationReturns(t *testing.T) {
+	g := NewWithT(t)
+	r, s := newRegistry()
+	r.Put(ready("a"), start)
+	r.Remove("a", start)
+	r.SyncRestored([]registry.Endpoint{ready("a")}, start)
+	g.Expect(s.last).To(BeEmpty())
+	r.Put(ready("a"), start)
+	g.Expect(s.last).To(HaveKeyWithValue("a", registry.Ready))
+}
--- a/internal/edge/watcher/source.go
+++ b/internal/edge/watcher/source.go
@@ -8,21 +8,30 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 )
 
 // ErrCompacted is returned by Source.Watch if the store no longer holds all changes
-// after the requested revision.
-var ErrCompacted = errors.New("the store no longer holds the changes after the requested revision")
+// after the requested position.
+var ErrCompacted = errors.New("the store no longer holds the changes after the requested position")
+
+// ErrNewEra is returned by Source.Watch if the store came back from a copy after the
+// requested position, so that its revisions no longer count the same changes.
+var ErrNewEra = errors.New("the store came back from a copy")
 
 // Source is a store that can be listed and watched, but not written.
 type Source interface {
-	// List returns all entries of the store as changes, and the revision from
+	// List returns all entries of the store as changes, and the position from
 	// which to watch. It need not be a snapshot: the changes may include some
-	// that are newer than this revision.
-	List(ctx context.Context) ([]change.Change, uint64, error)
-	// Watch waits for changes after a revision, and returns them with the
-	// revision from which to continue. If there are none within wait, it returns
-	// no changes. It returns ErrCompacted if the store no longer holds all
-	// changes after the revision; the caller must then call List.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]change.Change, uint64, error)
+	// that are newer than this position, but all are of its era.
+	List(ctx context.Context) ([]change.Change, position.Position, error)
+	// Watch waits for changes after a position, and returns them with the
+	// position from which to continue, which is of the same era. If there are none
+	// within wait, it returns no changes. It returns ErrCompacted if the store no
+	// longer holds all changes after the position, and ErrNewEra if the position
+	// is of an earlier era; the caller must then call List.
+	Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error)
+	// NewestEra returns the newest era that any answer of the store has shown,
+	// also one that refused a call. Answers of an earlier era are errors.
+	NewestEra() uint64
 }
--- /dev/null
+++ b/internal/edge/watcher/status.go
@@ -0,0 +1,21 @@
+package watcher
+
+// This file defines Status.
+
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
+)
+
+// Status is what an instance knows of the store.
+type Status struct {
+	Position   position.Position // all changes up to it are applied; zero before the first list
+	Version    uint64            // version of the catalog in force; zero for none
+	RestoredAt time.Duration     // when the instance saw the store come back from a copy, by its boot clock; zero if it did not
+}
+
+// shareStatus makes the status available to other goroutines.
+func (w *Watcher) shareStatus() {
+	w.status.Store(&Status{Position: w.position, Version: w.version, RestoredAt: w.restoredAt})
+}
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -2,8 +2,8 @@
 // catalog and the registered endpoints current, and records when they were last
 // confirmed to be the newest. It takes changes from another instance where it can,
 // so that many instances don't overload the store, and it tolerates a store that
-// is slow, does not answer, is down or has compacted its history. The I/O is done
-// by a Source that is passed in.
+// is slow, does not answer, is down, has compacted its history or comes back from a
+// copy some seconds old. The I/O is done by a Source that is passed in.
 package watcher
 
 // This file defines Watcher.
@@ -24,7 +24,9 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/edge/restore"
 )
 
 const (
@@ -49,10 +51,14 @@
 	// another instance, which also reports the end of an outage. If the store becomes
 	// reachable again for this instance only, it may take this long to notice.
 	reportedRetryDelay = 1500 * time.Millisecond
+	// peerTimeout is how long a starting instance waits at most to hear from another
+	// one before it trusts the store: the store may have lost a version of the catalog
+	// that others still have in force. It covers two polls of the seeds.
+	peerTimeout = 600 * time.Millisecond
 )
 
-// Watcher lists and watches one Source. Only Revision and History may be called
-// while Run is running.
+// Watcher lists and watches one Source. Only Status and History may be called while
+// Run is running.
 type Watcher struct {
 	source    Source
 	peer      *peerstatus.Latest // report of another instance
@@ -61,13 +67,17 @@
 	publish   func(*catalog.Catalog)
 	log       logr.Logger
 	history   *history.History // changes that were applied, for other instances
+	guard     *restore.Guard   // what answers of a restored store prove
 
-	lastWatch        time.Duration // start of the last watch, by the clock of freshness
-	version          uint64        // version of the catalog in force
-	revision         uint64        // all changes up to this revision are applied
-	sharedRevision   atomic.Uint64 // copy of revision for other goroutines
-	listed           bool          // whether revision is based on a complete list
-	unreachable      bool          // whether the last call to the store failed
+	lastWatch        time.Duration     // start of the last watch, by the clock of freshness
+	version          uint64            // version of the catalog in force
+	position         position.Position // all changes up to this position are applied
+	status           atomic.Pointer[Status]
+	listed           bool            // whether position is based on a complete list
+	reportedEra      uint64          // newest era that another instance had reported at the last list
+	verdict          restore.Verdict // of the last answer of the store
+	restoredAt       time.Duration   // when this instance itself saw the store come back from a copy; zero if it did not
+	unreachable      bool            // whether the last call to the store failed
 	unreachableSince time.Time
 }
 
@@ -75,12 +85,16 @@
 // t current. While peer has a report that is at most maxReportAge old, the source is
 // watched only for changes that the report announces but does not include.
 func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger) *Watcher {
-	return &Watcher{source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New()}
+	w := &Watcher{
+		source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New(), guard: restore.New(),
+		verdict: restore.Proven,
+	}
+	w.status.Store(new(Status))
+	return w
 }
 
-// Revision returns the revision up to which all changes are applied, and 0 before
-// the first list. It is safe for concurrent use.
-func (w *Watcher) Revision() uint64 { return w.sharedRevision.Load() }
+// Status returns what this instance knows of the store. It is safe for concurrent use.
+func (w *Watcher) Status() Status { return *w.status.Load() }
 
 // History returns the recent changes, for other instances.
 func (w *Watcher) History() *history.History { return w.history }
@@ -128,28 +142,31 @@
 // step brings the state up to date once: by a list if there was none yet, by a
 // recent report of another instance if that suffices, and by a watch otherwise.
 func (w *Watcher) step(ctx context.Context) error {
+	w.checkEra()
 	if !w.listed {
 		return w.list(ctx)
 	}
 	wait, interval := watchWait, watchInterval
 	switch report, ok := w.peer.Get(); {
 	case !ok || w.freshness.Now()-report.ConfirmedAt > maxReportAge:
-	case report.Revision <= w.revision:
-		w.setReachable("another instance knows that nothing changed")
-		w.freshness.Confirm(report.ConfirmedAt)
-		w.awaitReport(ctx)
-		return nil
-	case report.Complete && report.After <= w.revision:
+	case report.Position.Era != w.position.Era: // one of the two instances has not listed the newer era yet
+	case w.position.Before(report.Position) && report.Complete && report.After.Compare(w.position) <= 0:
 		w.setReachable("another instance told the changes")
-		w.applyAll(report.Changes, report.Revision)
-		w.freshness.Confirm(report.ConfirmedAt)
+		w.applyAll(report.Changes, report.Position)
+		w.confirm(report.ConfirmedAt, report.Version)
 		return nil
-	default:
+	case w.position.Before(report.Position):
 		wait, interval = probeWait, reportedWatchInterval // the store already has the change
+	case report.Version > w.version: // the store may have lost this version
+	default:
+		w.setReachable("another instance knows that nothing changed")
+		w.confirm(report.ConfirmedAt, report.Version)
+		w.awaitReport(ctx)
+		return nil
 	}
 	err := w.watch(ctx, wait, interval)
-	if errors.Is(err, ErrCompacted) {
-		w.log.Info("history lost, listing again", "revision", w.revision)
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrNewEra) {
+		w.log.Info("changes lost, listing again", "position", w.position.String(), "reason", err.Error())
 		w.listed = false
 		return w.list(ctx)
 	}
@@ -172,8 +189,10 @@
 func (w *Watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	fleet := w.peer.Fleet()
+	w.reportedEra = fleet.Era
 	started := w.freshness.Now()
-	changes, revision, err := w.source.List(ctx)
+	changes, at, err := w.source.List(ctx)
 	if err != nil {
 		return err
 	}
@@ -186,52 +205,68 @@
 		}
 		w.apply(c)
 	}
-	w.registry.Sync(endpoints, time.Now())
-	w.log.Info("store listed", "revision", revision, "endpoints", len(endpoints))
-	w.revision, w.listed = revision, true
-	w.history.Reset(revision)
-	w.sharedRevision.Store(revision)
-	w.freshness.Confirm(started)
+	first := !w.position.Known()
+	if !first && at.Era > w.position.Era {
+		w.setRestored(at)
+		w.registry.SyncRestored(endpoints, time.Now())
+	} else {
+		w.registry.Sync(endpoints, time.Now())
+	}
+	w.log.Info("store listed", "position", at.String(), "endpoints", len(endpoints), "version", w.version)
+	w.position, w.listed = at, true
+	w.history.Reset(at)
+	w.shareStatus()
+	if first {
+		fleet = w.awaitPeers(ctx)
+	}
+	w.confirm(started, fleet.Version)
 	return nil
 }
 
 // watch waits for changes in the store and applies them. The call begins at least
 // interval after the previous watch began.
 func (w *Watcher) watch(ctx context.Context, wait, interval time.Duration) error {
-	if w.unreachable {
+	newest := w.peer.Fleet().Version
+	switch _, confirmed := w.freshness.ConfirmedAt(); {
+	case newest > w.version:
+		wait, interval = probeWait, reportedWatchInterval
+	case w.unreachable || !confirmed:
 		wait = probeWait
 	}
+	wait = w.untilProof(wait)
 	pause.For(ctx, w.lastWatch+interval-w.freshness.Now())
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	confirmed := w.freshness.Now()
 	w.lastWatch = confirmed
-	changes, revision, err := w.source.Watch(ctx, w.revision, wait)
+	changes, at, err := w.source.Watch(ctx, w.position, wait)
 	if err != nil {
 		return err
 	}
 	w.setReachable("it answered")
-	w.applyAll(changes, revision)
+	w.applyAll(changes, at)
 	// An answer without changes was sent after the wait, so it confirms the state
 	// at that time and not only at the start of the call.
 	if len(changes) == 0 && w.freshness.Now()-confirmed >= wait {
 		confirmed += wait
 	}
-	w.freshness.Confirm(confirmed)
+	w.confirm(confirmed, newest)
 	return nil
 }
 
-// applyAll applies the changes that lead to a revision, and updates the registry
-// once for all of them.
-func (w *Watcher) applyAll(changes []change.Change, revision uint64) {
+// applyAll applies the changes that lead to a position of the same era, and updates
+// the registry once for all of them.
+func (w *Watcher) applyAll(changes []change.Change, to position.Position) {
 	release := w.registry.Hold()
 	for _, c := range changes {
 		w.apply(c)
 	}
 	release()
-	w.history.Add(changes, revision)
-	w.revision = max(w.revision, revision)
-	w.sharedRevision.Store(w.revision)
+	w.history.Add(changes, to)
+	if w.position.Before(to) {
+		w.position = to
+	}
+	w.shareStatus()
 }
 
 // apply applies one change.
@@ -242,7 +277,7 @@
 	case change.Registered:
 		e := c.Endpoint
 		w.log.Info("endpoint registered", "endpoint", e.ID, "service", e.Service, "state", e.State.String(), "born", e.StartTime)
-		w.registry.Put(e)
+		w.registry.Put(e, time.Now())
 	case change.Unregistered:
 		gone := w.registry.Remove(c.ID, time.Now())
 		w.log.Info("endpoint unregistered", "endpoint", c.ID, "gone", gone)
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,8 +15,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/change"
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 )
@@ -34,10 +36,11 @@
 var errDown = errors.New("store down")
 
 // store is a simulated Source whose state the tests set. Its revision is the number
-// of its events.
+// of its events and one.
 type store struct {
 	mu      sync.Mutex
 	state   state
+	era     uint64
 	version uint64
 	ready   map[string]bool // ids of the registered endpoints
 	events  []change.Change
@@ -77,6 +80,39 @@
 	return change.Published{Catalog: catalog.New(version, nil, nil, nil, false, catalog.Limits{})}
 }
 
+// restore makes the store come back from a copy that holds the first n changes.
+func (s *store) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.ready = 1, map[string]bool{"a": true, "b": true}
+	s.events = slices.Clone(s.events[:n])
+	for _, e := range s.events {
+		switch e := e.(type) {
+		case change.Published:
+			s.version = e.Catalog.Version
+		case change.Registered:
+			s.ready[e.Endpoint.ID] = true
+		case change.Unregistered:
+			delete(s.ready, e.ID)
+		}
+	}
+}
+
+// at returns the newest position. The caller holds the lock.
+func (s *store) at() position.Position {
+	return position.Position{Era: s.era, Revision: uint64(len(s.events)) + 1}
+}
+
+func (s *store) NewestEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == down || s.state == unresponsive {
+		return 0
+	}
+	return s.era
+}
+
 // enter counts a call and takes it through the state of the store.
 func (s *store) enter(ctx context.Context) error {
 	s.calls.Add(1)
@@ -95,9 +131,9 @@
 	}
 }
 
-func (s *store) List(ctx context.Context) ([]change.Change, uint64, error) {
+func (s *store) List(ctx context.Context) ([]change.Change, position.Position, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, 0, err
+		return nil, position.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,29 +144,31 @@
 	for id := range s.ready {
 		list = append(list, registered(id))
 	}
-	return list, uint64(len(s.events)), nil
+	return list, s.at(), nil
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]change.Change, uint64, error) {
+func (s *store) Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, 0, err
+		return nil, position.Position{}, err
 	}
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
-		all, st := s.events, s.state
+		all, at, st := s.events, s.at(), s.state
 		s.mu.Unlock()
 		switch {
 		case st == compacted:
-			return nil, 0, watcher.ErrCompacted
+			return nil, at, watcher.ErrCompacted
 		case st == unresponsive:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, at, ctx.Err()
 		case st == down:
-			return nil, 0, errDown
-		case uint64(len(all)) > after:
-			return all[after:], uint64(len(all)), nil
+			return nil, at, errDown
+		case at.Era != after.Era:
+			return nil, at, watcher.ErrNewEra
+		case after.Before(at):
+			return all[after.Revision-1:], at, nil
 		case !time.Now().Before(end):
-			return nil, uint64(len(all)), nil
+			return nil, at, nil
 		}
 	}
 }
@@ -152,11 +190,14 @@
 	return e != nil && e.AcceptsWork()
 }
 
+// revision returns the position of the first era after n events.
+func revision(n uint64) position.Position { return position.Position{Revision: n + 1} }
+
 // reportUnchanged delivers reports of another instance that nothing changed, one
 // every 0.3 s.
 func (h *harness) reportUnchanged(times int) {
 	for range times {
-		h.peer.Set(peerstatus.Report{ConfirmedAt: h.freshness.Now()})
+		h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: h.freshness.Now()})
 		time.Sleep(300 * time.Millisecond)
 	}
 }
@@ -286,10 +327,10 @@
 // recent. When it reports a newer revision, the store is asked.
 func TestReportsReplaceCalls(t *testing.T) {
 	run(t, func(g *WithT, h *harness) {
-		revision := uint64(0)
-		report := func(n int) {
-			for range n {
-				h.peer.Set(peerstatus.Report{Revision: revision, ConfirmedAt: h.freshness.Now() - 200*time.Millisecond})
+		n := uint64(0)
+		report := func(times int) {
+			for range times {
+				h.peer.Set(peerstatus.Report{Position: revision(n), ConfirmedAt: h.freshness.Now() - 200*time.Millisecond})
 				time.Sleep(300 * time.Millisecond)
 				g.Expect(h.freshness.Within(revoke / 2)).To(BeTrue())
 			}
@@ -299,7 +340,7 @@
 		report(60)
 		g.Expect(h.store.calls.Load()).To(Equal(before))
 		h.store.publish(2)
-		revision = 1
+		n = 1
 		report(2)
 		g.Expect(h.version.Load()).To(Equal(uint64(2)))
 		g.Expect(h.store.calls.Load()).To(BeNumerically("<=", before+2))
@@ -314,12 +355,12 @@
 // at most two calls a second.
 func TestReportedRevisionsLimitCalls(t *testing.T) {
 	run(t, func(g *WithT, h *harness) {
-		h.peer.Set(peerstatus.Report{Revision: 0, ConfirmedAt: h.freshness.Now()})
+		h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: h.freshness.Now()})
 		time.Sleep(2 * time.Second) // a watch may have been in progress
 		before := h.store.calls.Load()
 		for i := range 40 {
 			h.store.register(fmt.Sprint("n", i), true)
-			h.peer.Set(peerstatus.Report{Revision: uint64(i + 1), ConfirmedAt: h.freshness.Now()})
+			h.peer.Set(peerstatus.Report{Position: revision(uint64(i + 1)), ConfirmedAt: h.freshness.Now()})
 			time.Sleep(300 * time.Millisecond)
 			if i >= 3 {
 				g.Expect(h.accepts(fmt.Sprint("n", i-3))).To(BeTrue(), "change %d", i-3)
@@ -339,7 +380,7 @@
 		for i := range uint64(40) {
 			id := fmt.Sprint("n", i)
 			h.peer.Set(peerstatus.Report{
-				Revision: i + 1, ConfirmedAt: h.freshness.Now(), Changes: []change.Change{registered(id)}, After: i, Complete: true,
+				Position: revision(i + 1), ConfirmedAt: h.freshness.Now(), Changes: []change.Change{registered(id)}, After: revision(i), Complete: true,
 			})
 			time.Sleep(300 * time.Millisecond)
 			g.Expect(h.accepts(id)).To(BeTrue())
@@ -347,14 +388,14 @@
 		}
 		g.Expect(h.store.calls.Load()).To(Equal(before))
 		h.peer.Set(peerstatus.Report{
-			Revision: 41, ConfirmedAt: h.freshness.Now(), Changes: []change.Change{change.Unregistered{ID: "a"}, registered("c")}, After: 38, Complete: true,
+			Position: revision(41), ConfirmedAt: h.freshness.Now(), Changes: []change.Change{change.Unregistered{ID: "a"}, registered("c")}, After: revision(38), Complete: true,
 		})
 		time.Sleep(10 * time.Millisecond)
 		g.Expect(h.accepts("a")).To(BeFalse(), "changes that begin before the known revision must be applied")
 		g.Expect(h.accepts("c")).To(BeTrue())
-		list, to, ok := h.watcher.History().Since(0)
+		list, to, ok := h.watcher.History().Since(revision(0))
 		g.Expect(ok).To(BeTrue(), "the changes must be kept for other instances")
-		g.Expect(to).To(BeEquivalentTo(41))
+		g.Expect(to).To(Equal(revision(41)))
 		g.Expect(len(list)).To(BeNumerically(">=", 42))
 	})
 }
@@ -367,7 +408,7 @@
 		h.reportUnchanged(10)
 		h.store.register("c", true)
 		h.store.register("b", false)
-		h.peer.Set(peerstatus.Report{Revision: 2, ConfirmedAt: h.freshness.Now(), Changes: []change.Change{change.Unregistered{ID: "b"}}, After: 1, Complete: true})
+		h.peer.Set(peerstatus.Report{Position: revision(2), ConfirmedAt: h.freshness.Now(), Changes: []change.Change{change.Unregistered{ID: "b"}}, After: revision(1), Complete: true})
 		time.Sleep(700 * time.Millisecond)
 		g.Expect(h.accepts("c")).To(BeTrue())
 		g.Expect(h.accepts("b")).To(BeFalse())
@@ -383,7 +424,7 @@
 		time.Sleep(2 * time.Second) // a watch must have failed
 		report := func(n int) {
 			for range n {
-				h.peer.Set(peerstatus.Report{Revision: 0, ConfirmedAt: h.freshness.Now() - 200*time.Millisecond})
+				h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: h.freshness.Now() - 200*time.Millisecond})
 				time.Sleep(300 * time.Millisecond)
 			}
 		}
@@ -404,17 +445,17 @@
 func TestReportsDuringFullOutage(t *testing.T) {
 	run(t, func(g *WithT, h *harness) {
 		at := h.freshness.Now()
-		h.peer.Set(peerstatus.Report{ConfirmedAt: at})
+		h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: at})
 		h.store.set(down)
 		time.Sleep(2 * time.Second) // a watch must have failed
 		before := h.store.calls.Load()
 		for range 40 {
-			h.peer.Set(peerstatus.Report{ConfirmedAt: at})
+			h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: at})
 			time.Sleep(300 * time.Millisecond)
 		}
 		g.Expect(h.store.calls.Load()-before).To(BeNumerically("<=", 16), "calls in 12 s")
 		g.Expect(h.freshness.Within(revoke)).To(BeFalse())
-		h.peer.Set(peerstatus.Report{ConfirmedAt: h.freshness.Now()})
+		h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: h.freshness.Now()})
 		time.Sleep(10 * time.Millisecond)
 		g.Expect(h.freshness.Within(revoke)).To(BeTrue())
 	})
@@ -428,7 +469,7 @@
 		h.store.set(unresponsive)
 		at := h.freshness.Now()
 		for range 30 {
-			h.peer.Set(peerstatus.Report{Revision: 0, ConfirmedAt: at})
+			h.peer.Set(peerstatus.Report{Position: revision(0), ConfirmedAt: at})
 			time.Sleep(300 * time.Millisecond)
 		}
 		g.Expect(h.freshness.Within(revoke)).To(BeFalse())
--- a/internal/stage/forwarder/changes.go
+++ b/internal/stage/forwarder/changes.go
@@ -8,30 +8,38 @@
 	"fmt"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
 
-// addChanges adds to the roll that answers a poll all changes since the revision after,
+// addChanges adds to the roll that answers a poll all changes since the position after,
 // which is the one that the polling instance knows, and sets Told, which says that the
 // changes are complete. If the history no longer holds all of them, or either instance
-// knows no revision, it adds none; an instance without a revision lists the store
+// knows no position, it adds none; an instance without a position lists the store
 // itself.
-func (f *Forwarder) addChanges(roll *stagepb.Roll, after uint64) *stagepb.Roll {
-	if after == 0 || roll.Revision == 0 {
+func (f *Forwarder) addChanges(roll *stagepb.Roll, after position.Position) *stagepb.Roll {
+	own := positionOf(roll)
+	if !after.Known() || !own.Known() {
 		return roll
 	}
 	list, to, ok := f.history.Since(after)
-	if !ok || to < roll.Revision {
+	if !ok || to.Before(own) {
 		return roll
 	}
-	roll.Revision, roll.Told = to, true
+	roll.Era, roll.Revision, roll.Told = to.Era, to.Revision, true
 	for _, c := range list {
 		roll.Changes = append(roll.Changes, encodeChange(c))
 	}
 	return roll
 }
 
+// positionOf returns the position in the store up to which the sender of a roll knows
+// all changes. An instance of an older build names no era.
+func positionOf(roll *stagepb.Roll) position.Position {
+	return position.Position{Era: roll.Era, Revision: roll.Revision}
+}
+
 func encodeChange(c change.Change) *stagepb.Change {
 	switch c := c.(type) {
 	case change.Registered:
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -44,7 +45,7 @@
 	storeLag         *storelag.Detector
 	freshness        *freshness.Tracker
 	peerStatus       *peerstatus.Latest
-	revision         func() uint64 // newest revision of the store that this instance knows
+	status           func() watcher.Status // what this instance knows of the store
 	history          *history.History
 	log              logr.Logger
 
@@ -65,9 +66,9 @@
 	Eligible         func() bool // whether this instance can act as coordinator
 	ReachesEndpoints func() bool // whether it reaches the endpoints of stages; if not, it is degraded
 	Freshness        *freshness.Tracker
-	Revision         func() uint64      // newest revision of the store that this instance knows
-	History          *history.History   // latest changes of the store, for peers that know an older revision
-	PeerStatus       *peerstatus.Latest // receives the confirmations and changes that the leader reports
+	Status           func() watcher.Status // what this instance knows of the store
+	History          *history.History      // latest changes of the store, for peers that know an older position
+	PeerStatus       *peerstatus.Latest    // receives what peers know, and the confirmations and changes that the leader reports
 }
 
 // New returns a forwarder of the instance that peers reach at address self. It
@@ -76,7 +77,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, revision: s.Revision, history: s.History, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
 	f.registerHandlers()
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -21,9 +21,11 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
+	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -79,11 +81,19 @@
 	address    string
 	history    *history.History
 	peerStatus *peerstatus.Latest
-	revision   atomic.Uint64
+	revision   atomic.Uint64 // of the store, at least 1
+	version    atomic.Uint64 // of the catalog in force
 	ineligible atomic.Bool
 	stop       func()
 }
 
+// at returns a position of the store in its first era.
+func at(revision uint64) position.Position { return position.Position{Revision: revision} }
+
+func (in *instance) status() watcher.Status {
+	return watcher.Status{Position: at(max(1, in.revision.Load())), Version: in.version.Load()}
+}
+
 // cluster starts instances that know the same catalog and endpoints.
 type cluster struct {
 	catalog *catalog.Catalog
@@ -130,10 +140,10 @@
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started}
 	in.history, in.peerStatus = history.New(), peerstatus.New()
-	in.history.Reset(1)
+	in.history.Reset(at(1))
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
-			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Revision: func() uint64 { return max(1, in.revision.Load()) },
+			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
 			History: in.history, PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
@@ -255,25 +265,40 @@
 		}},
 		change.Unregistered{ID: "f"},
 	}
-	strong.history.Add(changes, 5)
+	strong.history.Add(changes, at(5))
 	strong.revision.Store(5)
 	received := func() bool {
 		n, ok := weak.peerStatus.Get()
-		return ok && n.Revision == 5
+		return ok && n.Position == at(5)
 	}
 	g.Eventually(received, waitLimit).Should(BeTrue())
 	n, _ := weak.peerStatus.Get()
 	g.Expect(n.Complete).To(BeTrue())
-	g.Expect(n.After).To(BeEquivalentTo(1))
+	g.Expect(n.After).To(Equal(at(1)))
 	g.Expect(n.Changes).To(Equal(changes))
-	strong.history.Add([]change.Change{change.Published{}}, 6)
+	strong.history.Add([]change.Change{change.Published{}}, at(6))
 	strong.revision.Store(6)
 	g.Eventually(func() bool {
 		n, ok := weak.peerStatus.Get()
-		return ok && n.Revision == 6 && !n.Complete
+		return ok && n.Position == at(6) && !n.Complete
 	}, waitLimit).Should(BeTrue(), "a catalog is not sent")
 }
 
+// TestNewestVersionReachesAllInstances guards against an instance that trusts a store
+// which has lost the newest version of the catalog: it must learn of that version also
+// from an instance that is not the leader, and through a third one.
+func TestNewestVersionReachesAllInstances(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	leader := c.start(t, &fakeExecutor{name: "leader"}, 800)
+	knowing := c.start(t, &fakeExecutor{name: "knowing"}, 400)
+	restarted := c.start(t, &fakeExecutor{name: "restarted"}, 400)
+	knowing.version.Store(7)
+	for _, in := range []*instance{leader, restarted} {
+		g.Eventually(func() uint64 { return in.peerStatus.Fleet().Version }, waitLimit).Should(BeEquivalentTo(7), in.name)
+	}
+}
+
 // TestInstancesEligibleAtOnceFollowOneCoordinator guards against instances that each
 // act as coordinator for themselves when they become eligible at the same moment. It
 // comes about when all were restarted while the store was down, and get their first
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -92,12 +92,17 @@
 	return d.Slow()
 }
 
-// recordConfirmation records when a peer last confirmed with the store that it knows
-// the newest revision. The peer's roll gives the age of this confirmation; the roll was
-// requested or received at the time pollTime of this instance's boot clock.
-// recordConfirmation returns the time of the confirmation by that clock, and false if
-// the peer has none.
+// recordConfirmation records what a peer knows, and when it last confirmed with the
+// store that it knows the newest position. The peer's roll gives the age of this
+// confirmation; the roll was requested or received at the time pollTime of this
+// instance's boot clock. recordConfirmation returns the time of the confirmation by
+// that clock, and false if the peer has none.
 func (f *Forwarder) recordConfirmation(roll *stagepb.Roll, pollTime time.Duration) (at time.Duration, ok bool) {
+	known := peerstatus.Known{Version: roll.Version, Era: roll.Era}
+	if roll.RestoredMs > 0 {
+		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
+	}
+	f.peerStatus.Observe(known)
 	if roll.Revision == 0 {
 		return 0, false
 	}
@@ -144,7 +149,7 @@
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
 		changes, known := decodeChanges(roll.Changes)
 		f.peerStatus.Set(peerstatus.Report{
-			Revision: roll.Revision, ConfirmedAt: at, Changes: changes, After: own.Revision, Complete: roll.Told && known,
+			Position: positionOf(roll), Version: roll.Version, ConfirmedAt: at, Changes: changes, After: positionOf(own), Complete: roll.Told && known,
 		})
 	}
 }
@@ -183,15 +188,21 @@
 }
 
 // newRoll returns the roll, which is the message that an instance sends in a poll and in
-// the answer to one: the candidates that it knows, the revision of the store that it
-// knows, and the age of the last confirmation that this revision was the newest. The age
-// is rounded up, so that a peer never takes the confirmation for newer than it is.
+// the answer to one: the candidates that it knows, the position of the store that it
+// knows, and the age of the last confirmation that this position was the newest. The age
+// is rounded up, so that a peer never takes the confirmation for newer than it is; that
+// of the store's return is rounded down, for the same reason.
 func (f *Forwarder) newRoll(now time.Time) *stagepb.Roll {
-	roll := new(stagepb.Roll)
-	if age, ok := f.freshness.Age(); ok {
-		roll.Revision = f.revision()
+	age, confirmed := f.freshness.Age() // before the status, which may be newer
+	status := f.status()
+	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version)}
+	if confirmed {
+		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
 	}
+	if status.RestoredAt > 0 {
+		roll.RestoredMs = uint32(max(1, (f.freshness.Now() - status.RestoredAt).Milliseconds()))
+	}
 	for _, c := range f.election.Candidates(now) {
 		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
 			Address: c.Address, Power: uint32(c.MilliCPU), AgeMs: uint32(now.Sub(c.LastSeen).Milliseconds()), Fit: c.Eligible, Since: c.StartTime,
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -41,7 +41,7 @@
 		now := time.Now()
 		f.election.RecordPoll(decodeRoll(&roll, now))
 		f.recordConfirmation(&roll, f.freshness.Now())
-		return proto.Marshal(f.addChanges(f.newRoll(now), roll.Revision))
+		return proto.Marshal(f.addChanges(f.newRoll(now), positionOf(&roll)))
 	})
 	f.transport.HandleCancellable(method.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
