Obey endpoints that say that they leave or that they want a pause

Cause: the header Server-Leaving was not read, and a 503 with Retry-After only cost the endpoint its turn: further requests, retries, stage calls and calls that free results went to it. Change: package notice records what an endpoint says of itself in any response. A process that leaves is Draining in the registry from then on, whatever its registration says, and polls tell the other instances. Package cooldown decides the calls of an endpoint in its pause: none while another endpoint can take them, one as a last resort late in the pause, and one by one for a second afterwards. The picker, the coordinator's choice, the batcher and its calls that free results obey it. If every endpoint of a service asked for a pause, a request is refused at once with the time until the first one ends. A resumed stream that skips events is no longer passed on as whole (the steps of the ids of the first run are compared). Ruled out: waiting for the end of a pause, as the caller's time runs out; using both calls that an endpoint bears, as one may be on its way when it asks.

--- /dev/null
+++ b/internal/edge/notice/recorder.go
@@ -0,0 +1,106 @@
+// Package notice records what endpoints say of themselves in their responses: that they
+// leave, or that they want a pause. A process that leaves gets no new work from this
+// instance from then on, and the other instances are told, since an endpoint that
+// leaves may not reach the store. A pause binds this instance only. The package does no
+// I/O apart from logging.
+package notice
+
+// This file defines Recorder and Notice.
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+)
+
+const (
+	tellTime     = 15 * time.Second // for which other instances are told that a process leaves
+	maxTold      = 64               // names that one message holds
+	maxNameBytes = 300              // of a name that another instance tells
+)
+
+// Notice is what an endpoint says of itself in one response.
+type Notice struct {
+	Leaving bool
+	Pause   time.Duration // zero for none
+}
+
+// Recorder records notices. It is safe for concurrent use.
+type Recorder struct {
+	registry *registry.Registry
+	cooldown *cooldown.Tracker
+	log      logr.Logger
+	leaving  tally.Counter
+	pauses   tally.Counter
+
+	mu     sync.Mutex
+	recent []told // oldest first
+}
+
+// told is a process that leaves, of which other instances are told.
+type told struct {
+	name string
+	at   time.Time
+}
+
+// New returns a recorder that marks leaving processes in r and starts pauses in c.
+func New(r *registry.Registry, c *cooldown.Tracker, log logr.Logger, scope tally.Scope) *Recorder {
+	return &Recorder{
+		registry: r, cooldown: c, log: log,
+		leaving: scope.Counter("endpoints_leaving"), pauses: scope.Counter("endpoint_pauses"),
+	}
+}
+
+// Record records the notice in a response of an endpoint.
+func (r *Recorder) Record(e *registry.Endpoint, n Notice) {
+	now := time.Now()
+	if n.Leaving {
+		r.markLeaving(e.Name(), "the endpoint said so", now)
+	}
+	if n.Pause > 0 {
+		r.cooldown.Start(e.Name(), n.Pause, now)
+		r.pauses.Inc(1)
+		r.log.Info("endpoint asked for a pause", "endpoint", e.ID, "service", e.Service, "pause", n.Pause.String(), "limit", cooldown.MaxPause.String())
+	}
+}
+
+// Learn records the names of processes that leave, which another instance has told.
+func (r *Recorder) Learn(names []string) {
+	now := time.Now()
+	for _, name := range names[:min(maxTold, len(names))] {
+		if name != "" && len(name) <= maxNameBytes {
+			r.markLeaving(name, "another instance said so", now)
+		}
+	}
+}
+
+func (r *Recorder) markLeaving(name, reason string, now time.Time) {
+	if !r.registry.MarkLeaving(name, now) {
+		return
+	}
+	r.leaving.Inc(1)
+	r.log.Info("endpoint leaves", "endpoint", name, "reason", reason)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent = append(r.recent, told{name, now})
+}
+
+// Recent returns the processes of which this instance learned within tellTime that they
+// leave, the latest ones if there are too many for a message.
+func (r *Recorder) Recent() []string {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent = slices.DeleteFunc(r.recent, func(t told) bool { return now.Sub(t.at) > tellTime })
+	var names []string
+	for _, t := range r.recent[max(0, len(r.recent)-maxTold):] {
+		names = append(names, t.name)
+	}
+	return names
+}
--- a/internal/edge/protocol/codec.go
+++ b/internal/edge/protocol/codec.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
@@ -43,6 +44,9 @@
 	ImpliesNotRun(status int) bool
 	// Load returns the load that the response reports, if any.
 	Load(h http.Header) (endpointstats.Load, bool)
+	// Notice returns what the endpoint says of itself in the response. The error
+	// says which header cannot be read; the rest of the notice holds.
+	Notice(status int, h http.Header) (notice.Notice, error)
 	// StripInternal removes the response headers that are not meant for the
 	// caller.
 	StripInternal(h http.Header)
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/edge/endpointtable"
+	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
@@ -53,7 +54,19 @@
 func (testCodec) Signed(h http.Header) bool                        { return h.Get("Signed") != "" }
 func (testCodec) ImpliesNotRun(status int) bool                    { return status == 429 || status == 503 }
 func (testCodec) Load(http.Header) (endpointstats.Load, bool)      { return endpointstats.Load{}, false }
-func (testCodec) StripInternal(h http.Header)                      { h.Del("Id") }
+func (testCodec) Notice(status int, h http.Header) (notice.Notice, error) {
+	n := notice.Notice{Leaving: h.Get("Leaving") != ""}
+	if status == http.StatusServiceUnavailable && h.Get("Pause") != "" {
+		length, err := time.ParseDuration(h.Get("Pause"))
+		if err != nil {
+			return n, err
+		}
+		n.Pause = length
+	}
+	return n, nil
+}
+
+func (testCodec) StripInternal(h http.Header) { h.Del("Id") }
 
 // script handles one request at an endpoint by writing to the raw connection.
 type script func(w net.Conn, r *http.Request)
@@ -83,6 +96,15 @@
 	}
 }
 
+// breakAfterEvent returns a script that writes one event and closes the connection.
+func breakAfterEvent(headers string) script {
+	return func(w net.Conn, r *http.Request) {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), headers)
+		fmt.Fprint(w, "f\r\nid: 0\ndata: x\n\n\r\n")
+		w.Close()
+	}
+}
+
 // harness runs a proxy with several endpoints. Each request that reaches any
 // endpoint takes the next script from one shared list; without a script left,
 // the endpoint closes the connection.
@@ -114,7 +136,7 @@
 	pool, closePool := connpool.New()
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, notice.New(f, stats.Cooldown(), logr.Discard(), tally.NoopScope), logr.Discard())
 	return h
 }
 
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
+	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
@@ -78,15 +79,18 @@
 	pool        *connpool.Pool
 	retryBudget *retrylimit.Limiter
 	preparer    Preparer
+	notices     *notice.Recorder
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
-// limits retries.
+// limits retries; notices receives what endpoints say of themselves.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
-	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, log logr.Logger,
+	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, notices *notice.Recorder, log logr.Logger,
 ) *Proxy {
-	return &Proxy{codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer, log: log}
+	return &Proxy{
+		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer, notices: notices, log: log,
+	}
 }
 
 // Serve forwards a request and writes the response to w. If it fails before
--- a/internal/edge/proxy/proxy_test.go
+++ b/internal/edge/proxy/proxy_test.go
@@ -82,6 +82,7 @@
 		{"broken, not resumable", false, []script{streamEvents(0, 1, false), streamEvents(0, 3, true)}, 1, []string{"0", "1"}, proxy.ErrStreamBroken},
 		{"resumed", true, []script{streamEvents(0, 1, false), streamEvents(2, 3, true)}, 2, []string{"0", "1", "2", "3"}, nil},
 		{"resumed with repeated events", true, []script{streamEvents(0, 1, false), streamEvents(0, 3, true)}, 2, []string{"0", "1", "2", "3"}, nil},
+		{"resumed after a gap", true, []script{streamEvents(0, 1, false), streamEvents(3, 4, true)}, 2, []string{"0", "1"}, proxy.ErrStreamBroken},
 		{
 			"inputs are gone at the endpoint that resumes", true,
 			[]script{streamEvents(0, 1, false), respond(409, "Refused: 1\r\n", ""), streamEvents(2, 3, true)},
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -35,6 +35,7 @@
 	}
 	defer resp.Close()
 	x.reportLoad(lease, resp)
+	x.recordNotice(e, resp)
 	switch {
 	case x.codec.Refused(resp.Status, resp.Header):
 		return x.handleRefusal(ctx, lease, resp)
@@ -66,6 +67,16 @@
 	}
 }
 
+// recordNotice records what the endpoint says of itself in a response, before anything
+// of the response reaches the caller.
+func (x *exchange) recordNotice(e *registry.Endpoint, resp *connpool.Response) {
+	n, err := x.codec.Notice(resp.Status, resp.Header)
+	if err != nil {
+		x.log.Info("notice of an endpoint ignored", "request", x.request.ID, "endpoint", e.ID, "reason", err.Error())
+	}
+	x.notices.Record(e, n)
+}
+
 // handleRefusal handles a response which says that the endpoint did not run the
 // request. Status 409 means that its inputs no longer exist on the endpoint that
 // held them, so they are prepared again. After any other refusal the request is
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -28,8 +28,12 @@
 	headerWritten bool   // status and headers were written to the caller
 	lastEventID   string // id of the last event written; empty if none had an id
 	events        int    // events written
+	resumed       bool   // the next event is the first one of another run
+	step          int64  // difference of the ids of successive events; zero if not known, irregularStep if it varies
 }
 
+const irregularStep = -1
+
 // relayStream relays a stream, writing each event once it has arrived
 // completely. If the stream breaks, the route may allow resuming it on another
 // endpoint.
@@ -50,6 +54,7 @@
 	if !retry || !x.stream.headerWritten {
 		return retry, endErr
 	}
+	x.stream.resumed = true
 	// The inputs were released at the first event, so a resumed stream needs new ones.
 	if err := x.prepare(ctx); err != nil {
 		return false, err
@@ -120,12 +125,11 @@
 		events = events[end:]
 		id := eventID(event)
 		if id != "" {
-			if known, err := x.alreadyDelivered(id); err != nil {
+			if known, err := x.stream.advance(id); err != nil {
 				return err
 			} else if known {
 				continue
 			}
-			x.stream.lastEventID = id
 		}
 		x.stream.events++
 		if _, err := x.writer.Write(event); err != nil {
@@ -138,22 +142,30 @@
 	return nil
 }
 
-// alreadyDelivered reports whether the caller has already received the event
-// with this id, which is the case if its number is not above that of the last
-// event. Gaps in the numbers are not detected. The error is always nil.
-func (x *exchange) alreadyDelivered(id string) (bool, error) {
-	if x.stream.lastEventID == "" {
-		return false, nil
-	}
-	got, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
+// advance records the id of the next event. It reports whether the caller has received
+// that event already, which is the case if its number is not above that of the last one.
+// It returns an error if another run begins after a gap in the numbers.
+func (s *streamState) advance(id string) (known bool, err error) {
+	got, err1 := strconv.ParseInt(id, 10, 64)
+	last, err2 := strconv.ParseInt(s.lastEventID, 10, 64)
+	if err1 != nil || err2 != nil {
+		s.lastEventID, s.resumed = id, false
 		return false, nil // ids that are not numbers have no order
 	}
-	last, err := strconv.ParseInt(x.stream.lastEventID, 10, 64)
-	if err != nil {
-		return false, nil
+	step := got - last
+	switch {
+	case step <= 0:
+		return true, nil
+	case s.resumed && s.step > 0 && step != s.step:
+		return false, fmt.Errorf("got event %s after event %s from the run that resumes the stream, want event %d", id, s.lastEventID, last+s.step)
+	case s.resumed:
+	case s.step == 0:
+		s.step = step
+	case s.step != step:
+		s.step = irregularStep
 	}
-	return got <= last, nil
+	s.lastEventID, s.resumed = id, false
+	return false, nil
 }
 
 // eventID returns the id of a server-sent event, or an empty string.
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
 	"github.com/jacinthstile/jacinthstile/internal/table/fleettable"
@@ -91,7 +92,10 @@
 	case choice.Full:
 		return nil, true, nil
 	default:
-		return nil, false, &Refusal{Reason: choice.Reason.String()}
+		return nil, false, &Refusal{Reason: choice.Reason.String(), RetryAfter: choice.Left}
+	}
+	if !d.stats.Cooldown().Take(choice.Endpoint.Name, max(cooldown.Usual, choice.Use), c.Query.Now) {
+		return nil, true, nil // another call was taken meanwhile
 	}
 	return d.newLease(c, table, choice), false, nil
 }
@@ -100,10 +104,10 @@
 // chosen, regardless of its limit. It returns nil if the endpoint may get no new work.
 func (d *Dispatcher) AcquireNamed(c Call, name string) *Lease {
 	table := d.tables.Current()
-	if !picker.Allowed(table, d.stats, name) {
+	c.Query.Now = time.Now()
+	if !picker.Allowed(table, d.stats, name) || !d.stats.Cooldown().Take(name, cooldown.Usual, c.Query.Now) {
 		return nil
 	}
-	c.Query.Now = time.Now()
 	return d.newLease(c, table, picker.Choice{Endpoint: table.Endpoint(name), Reason: picker.Reason{Code: picker.ByCoordinator}})
 }
 
--- a/internal/routing/endpointstats/tracker.go
+++ b/internal/routing/endpointstats/tracker.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 )
 
@@ -26,6 +27,7 @@
 	shards  [numShards]shard
 	index   *prefix.Index
 	leaving atomic.Pointer[map[string]bool]
+	pauses  *cooldown.Tracker
 }
 
 type shard struct {
@@ -35,7 +37,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	t := &Tracker{index: prefix.NewIndex()}
+	t := &Tracker{index: prefix.NewIndex(), pauses: cooldown.New()}
 	for i := range t.shards {
 		t.shards[i].entries = make(map[string]*Entry)
 	}
@@ -111,6 +113,9 @@
 	return t.index.Find(blocks, matches)
 }
 
+// Cooldown returns the pauses that endpoints asked for.
+func (t *Tracker) Cooldown() *cooldown.Tracker { return t.pauses }
+
 // SetLeaving replaces the set of endpoints that are leaving, which must get no
 // new calls. The caller must not change the map afterwards.
 func (t *Tracker) SetLeaving(names map[string]bool) { t.leaving.Store(&names) }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/concurrency"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 	"github.com/jacinthstile/jacinthstile/internal/routing/outlier"
 	"github.com/jacinthstile/jacinthstile/internal/routing/strategy"
@@ -32,12 +33,16 @@
 	Tried               []string      // names of endpoints that already failed this call
 	AllowTried          bool          // choose among the tried endpoints if no other is usable
 	Now                 time.Time
+
+	use cooldown.Use // zero for Usual
 }
 
 // Choice is a decision and its reason.
 type Choice struct {
 	Endpoint *endpoint.Endpoint // nil if none can take the call now
 	Full     bool               // no endpoint was chosen because all usable ones are at their concurrency limit, so the call can wait
+	Use      cooldown.Use       // how much the endpoint is needed
+	Left     time.Duration      // if all usable endpoints asked for a pause, the time until the first one ends
 	Load     float64            // mean predicted load of the compared candidates in calls per slot; set by Predicted only
 	Reason   Reason
 }
@@ -87,7 +92,9 @@
 	return table.Weight(name) > 0 && !stats.Leaving(name)
 }
 
-// Pick chooses an endpoint for a call. It never chooses one that is not Allowed.
+// Pick chooses an endpoint for a call. It never chooses one that is not Allowed, and
+// one that asked for a pause only as package cooldown allows. The caller must Take the
+// call from the cooldown with the Use of the choice.
 func (p *Picker) Pick(table *fleettable.Table, q Query) Choice {
 	g := p.group(table, key{q.Role, q.Model})
 	if len(g.members) == 0 {
@@ -96,12 +103,60 @@
 	c := p.choose(g, q)
 	if c.Reason.Code == NoneUsable && q.AllowTried && len(q.Tried) > 0 {
 		q.Tried = nil
-		return p.choose(g, q)
+		c = p.choose(g, q)
+	}
+	if c.Reason.Code == NoneUsable {
+		return p.chooseInPause(g, q, c)
+	}
+	return c
+}
+
+// maxRampWait is the longest time for which a call waits for an endpoint whose pause
+// has ended, but which gets its calls one by one.
+const maxRampWait = 100 * time.Millisecond
+
+// chooseInPause chooses among endpoints that asked for a pause, for a call for which
+// no other one is usable. none is the choice without these endpoints.
+func (p *Picker) chooseInPause(g *group, q Query, none Choice) Choice {
+	left := p.pauseLeft(g, &q)
+	switch {
+	case left == 0:
+		return none
+	case left <= maxRampWait:
+		none.Full = true
+		none.Reason.Code = Paused
+		return none
+	}
+	q.use = cooldown.LastResort
+	c := p.choose(g, q)
+	if c.Endpoint == nil {
+		none.Left, none.Reason.Code = left, Paused
+		return none
 	}
+	c.Use = cooldown.LastResort
 	return c
 }
 
+// pauseLeft returns the time until the first member that is usable otherwise may get a
+// call; zero if none asked for a pause.
+func (p *Picker) pauseLeft(g *group, q *Query) time.Duration {
+	var least time.Duration
+	for i := range g.members {
+		m := &g.members[i]
+		if p.stats.Leaving(m.Name) || slices.Contains(q.Tried, m.Name) {
+			continue
+		}
+		if left := p.stats.Cooldown().Left(m.Name, q.Now); left > 0 && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
+
 func (p *Picker) choose(g *group, q Query) Choice {
+	if q.use == 0 {
+		q.use = cooldown.Usual
+	}
 	switch st := p.strategy.(type) {
 	case strategy.Random:
 		return p.plain(g, q, 1, false)
@@ -177,7 +232,8 @@
 	return int(v.Uint64() % uint64(n))
 }
 
-// usable reports whether a member is neither leaving nor among the tried endpoints.
+// usable reports whether a member is neither leaving, nor among the tried endpoints, nor
+// in a pause.
 func (p *Picker) usable(m *member, q *Query) bool {
-	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name)
+	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name) && p.stats.Cooldown().Allows(m.Name, q.use, q.Now)
 }
--- a/internal/routing/picker/reason.go
+++ b/internal/routing/picker/reason.go
@@ -30,6 +30,8 @@
 	OnlyEjected
 	// ByCoordinator means that the coordinator chose the endpoint.
 	ByCoordinator
+	// Paused means that all usable endpoints asked for a pause.
+	Paused
 )
 
 var codeTexts = [...]string{
@@ -42,11 +44,12 @@
 	NoShare:       "no share of any limit",
 	OnlyEjected:   "only ejected endpoints left",
 	ByCoordinator: "chosen by the gathering instance",
+	Paused:        "all endpoints asked for a pause",
 }
 
 // String returns the text used in logs.
 func (c ReasonCode) String() string {
-	if c < Unknown || c > ByCoordinator {
+	if c < Unknown || c > Paused {
 		return fmt.Sprintf("ground(%d)", int(c))
 	}
 	return codeTexts[c]
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 	"github.com/jacinthstile/jacinthstile/internal/stage/scheduler"
@@ -39,6 +40,7 @@
 	catalog   func() *catalog.Catalog
 	endpoints func() *registry.Index
 	executor  executor.Executor
+	pauses    *cooldown.Tracker
 	log       logr.Logger
 
 	mu           sync.Mutex
@@ -65,10 +67,11 @@
 var errEnded = errors.New("the job was ended")
 
 // New returns a Batcher without jobs. The function currentCatalog returns nil while
-// there is no catalog; currentEndpoints returns the index of the known endpoints.
-func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, log logr.Logger) *Batcher {
+// there is no catalog; currentEndpoints returns the index of the known endpoints; pauses
+// holds those of them that asked for a pause.
+func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, pauses *cooldown.Tracker, log logr.Logger) *Batcher {
 	return &Batcher{
-		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, log: log, scheduler: scheduler.New(),
+		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, log: log, scheduler: scheduler.New(),
 		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool),
 		inFlight: make(map[*batchCall]struct{}),
 	}
@@ -120,7 +123,7 @@
 		"takes", v.Predicted.String(), "wait", v.Wait.String(), "left", j.Goal.Sub(now).String())
 	if !v.Admit {
 		refusal := fault.New(refusalCode(v.Reason), "stages: %s, they would take %s of %s", v.Reason, v.Predicted, j.Goal.Sub(now))
-		refusal.RetryAfter = v.RetryAfter
+		refusal.RetryAfter = max(v.RetryAfter, b.longestPause(j, now))
 		return nil, refusal
 	}
 	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline, start: now, predicted: v.Predicted}
--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
@@ -156,6 +157,7 @@
 type fixture struct {
 	*batcher.Batcher
 	executor *fakeExecutor
+	pauses   *cooldown.Tracker
 	index    *registry.Index
 	jobCount int
 }
@@ -163,7 +165,7 @@
 // withFixture runs a test in a synctest bubble, with Run in the background.
 func withFixture(t *testing.T, test func(g *WithT, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{executor: newFakeExecutor()}
+		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New()}
 		batch := catalog.Batch{MaxPieces: maxPieces, MaxCalls: 1, CallOverhead: callTime, PieceTime: itemTime, ResultBytes: 1000, ResultRetention: 4 * time.Second}
 		c := catalog.New(1, nil, []*catalog.Service{{Name: "first", Batch: &batch}, {Name: "second", Batch: &batch}}, nil, false, catalog.Limits{})
 		f.index = registry.NewIndex([]*registry.Endpoint{
@@ -171,7 +173,7 @@
 			{ID: "b", Service: "first", Address: "b:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
 		})
-		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, func() *registry.Index { return f.index }, f.executor, logr.Discard())
+		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, func() *registry.Index { return f.index }, f.executor, f.pauses, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -417,6 +419,52 @@
 	})
 }
 
+// Guards against calls, also those that free results, to an endpoint that asked for a
+// pause: the pieces must go to the other one, and the results be freed afterwards.
+func TestEndpointInPauseGetsNoCalls(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		calls := 0
+		f.executor.intercept = func(e *registry.Endpoint, _ []executor.Item) ([]executor.Outcome, error, bool) {
+			if e.ID == "a" {
+				calls++
+			}
+			return nil, nil, false
+		}
+		first := f.job(2*maxPieces, 0, 3*time.Second)
+		expectSuccess(g, f.prepare(first))
+		g.Expect(calls).To(BeNumerically(">", 0), "both endpoints are used")
+		f.pauses.Start("a@0", 3*time.Second, time.Now())
+		calls = 0
+		f.Release(first.ID)
+		for range 3 { // 0.8 s each at one endpoint
+			j := f.job(2*maxPieces, 0, 3*time.Second)
+			expectSuccess(g, f.prepare(j))
+			f.Release(j.ID)
+		}
+		g.Expect(calls).To(BeZero())
+		g.Expect(f.executor.heldResults()).To(BeNumerically(">", 0), "results at the endpoint in its pause")
+		time.Sleep(5 * time.Second)
+		g.Expect(f.executor.heldResults()).To(BeZero())
+		g.Expect(f.Idle()).To(BeTrue())
+	})
+}
+
+// Guards against jobs that wait in vain where all endpoints of a service asked for a
+// pause: they must be refused at once with the time at which the first one ends.
+func TestServiceInPauseRefusesAtOnce(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		f.pauses.Start("a@0", 2*time.Second, time.Now())
+		f.pauses.Start("b@0", time.Second, time.Now())
+		start := time.Now()
+		err := f.prepare(f.job(1, 1, 3*time.Second))[0]
+		g.Expect(time.Since(start)).To(BeZero())
+		g.Expect(fault.From(err).Code).To(Equal(code.NoEndpoint))
+		g.Expect(fault.From(err).RetryAfter).To(Equal(time.Second))
+		time.Sleep(time.Second)
+		expectSuccess(g, f.prepare(f.job(1, 1, 3*time.Second)))
+	})
+}
+
 // Guards against jobs aborted because endpoints have no space: their pieces must
 // wait or go elsewhere, even if more of them are turned away than may fail in a job.
 func TestLackOfSpaceDoesNotFailJobs(t *testing.T) {
@@ -490,7 +538,7 @@
 // that has just been restarted and has no catalog yet.
 func TestPrepareBeforeFirstCatalog(t *testing.T) {
 	g := NewWithT(t)
-	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), logr.Discard())
+	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), logr.Discard())
 	now := time.Now()
 	j := job.New("j", "j", "key", []catalog.Stage{{Service: "first"}}, []int{1}, 0, now.Add(time.Second), now.Add(2*time.Second))
 	_, err := b.Prepare(context.Background(), j)
--- a/internal/stage/batcher/free.go
+++ b/internal/stage/batcher/free.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 )
 
@@ -72,8 +73,13 @@
 	time.AfterFunc(freeDelay, func() { b.flushFrees(e, w) })
 }
 
-// flushFrees calls an endpoint to free the collected results.
+// flushFrees calls an endpoint to free the collected results. If the endpoint asked for
+// a pause, it does so afterwards.
 func (b *Batcher) flushFrees(e *registry.Endpoint, w *worker) {
+	if now := time.Now(); !b.pauses.Take(e.Name(), cooldown.Usual, now) {
+		time.AfterFunc(max(freeDelay, b.pauses.Left(e.Name(), now)), func() { b.flushFrees(e, w) })
+		return
+	}
 	b.mu.Lock()
 	handles, size := w.toFree, w.toFreeBytes
 	w.toFree, w.toFreeBytes, w.freeScheduled = nil, 0, false
--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -10,7 +10,9 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/freespace"
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 )
 
 const (
@@ -112,7 +114,8 @@
 type idleEndpoint struct {
 	*registry.Endpoint
 	worker   *worker
-	slowdown float64 // how many times its expected duration the next call should take
+	slowdown float64      // how many times its expected duration the next call should take
+	use      cooldown.Use // how much the endpoint is needed
 }
 
 // serviceState is the state of the endpoints of a service at one moment.
@@ -126,15 +129,23 @@
 func (b *Batcher) refreshService(service string, batch *catalog.Batch, now time.Time) serviceState {
 	usable := make(map[string]float64)
 	var state serviceState
-	for _, e := range b.endpoints().Accepting(service) {
+	accepting := b.endpoints().Accepting(service)
+	use := cooldown.Usual
+	if b.pauseLeft(accepting, now) > 0 {
+		use = cooldown.LastResort
+	}
+	for _, e := range accepting {
 		w := b.worker(e)
 		slowdown := w.slowdown(now)
 		state.calls += w.calls
+		if !b.pauses.Allows(e.Name(), use, now) {
+			continue
+		}
 		if !w.inFailureBackoff(now) {
 			usable[e.Centre] += float64(batch.MaxCalls) / slowdown
 		}
 		if w.calls < batch.MaxCalls && !w.inBackoff(now) {
-			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown})
+			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown, use: use})
 		}
 	}
 	b.scheduler.UpdateService(service, *batch, usable, now)
@@ -145,3 +156,29 @@
 	slices.SortStableFunc(state.idle, func(x, y idleEndpoint) int { return cmp.Compare(x.slowdown, y.slowdown) })
 	return state
 }
+
+// pauseLeft returns the time until the first of the endpoints may get a call, if all of
+// them asked for a pause; zero if one may get a call now.
+func (b *Batcher) pauseLeft(endpoints []*registry.Endpoint, now time.Time) time.Duration {
+	var least time.Duration
+	for _, e := range endpoints {
+		left := b.pauses.Left(e.Name(), now)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// longestPause returns the time until each service of a job has an endpoint that may get
+// a call, as far as pauses are the reason that it has none.
+func (b *Batcher) longestPause(j *job.Job, now time.Time) time.Duration {
+	var longest time.Duration
+	for _, s := range j.Stages {
+		longest = max(longest, b.pauseLeft(b.endpoints().Accepting(s.Service), now))
+	}
+	return longest
+}
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
+	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
@@ -47,6 +48,7 @@
 	peerStatus       *peerstatus.Latest
 	status           func() watcher.Status // what this instance knows of the store
 	history          *history.History
+	notices          *notice.Recorder
 	log              logr.Logger
 
 	polling sync.Map // addresses whose poll is in flight
@@ -68,6 +70,7 @@
 	Freshness        *freshness.Tracker
 	Status           func() watcher.Status // what this instance knows of the store
 	History          *history.History      // latest changes of the store, for peers that know an older position
+	Notices          *notice.Recorder      // endpoints that said that they leave
 	PeerStatus       *peerstatus.Latest    // receives what peers know, and the confirmations and changes that the leader reports
 }
 
@@ -77,7 +80,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
 	f.registerHandlers()
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -14,12 +14,14 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/base/boottime"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
+	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
@@ -31,6 +33,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -81,6 +84,9 @@
 	address    string
 	history    *history.History
 	peerStatus *peerstatus.Latest
+	registry   *registry.Registry
+	index      atomic.Pointer[registry.Index] // of registry
+	notices    *notice.Recorder
 	revision   atomic.Uint64 // of the store, at least 1
 	version    atomic.Uint64 // of the catalog in force
 	ineligible atomic.Bool
@@ -135,16 +141,19 @@
 	c.started++
 	catalogNow := func() *catalog.Catalog { return c.catalog }
 	endpointsNow := func() *registry.Index { return c.index }
-	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, logr.Discard())
+	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), logr.Discard())
 	current := freshness.New(boottime.Now)
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started}
 	in.history, in.peerStatus = history.New(), peerstatus.New()
+	in.registry = registry.New(func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
+	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
+	in.notices = notice.New(in.registry, cooldown.New(), logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
-			History: in.history, PeerStatus: in.peerStatus,
+			History: in.history, Notices: in.notices, PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
@@ -299,6 +308,20 @@
 	}
 }
 
+// TestLeavingEndpointIsToldToAllInstances guards against an endpoint that says in a
+// response that it leaves, but gets work from the instances that did not get it.
+func TestLeavingEndpointIsToldToAllInstances(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	all := []*instance{
+		c.start(t, &fakeExecutor{name: "leader"}, 800), c.start(t, &fakeExecutor{name: "b"}, 400), c.start(t, &fakeExecutor{name: "c"}, 400),
+	}
+	all[1].notices.Record(all[1].index.Load().ByName("e1@3"), notice.Notice{Leaving: true})
+	for _, in := range all {
+		g.Eventually(func() bool { return in.index.Load().ByName("e1@3").AcceptsWork() }, waitLimit).Should(BeFalse(), in.name)
+	}
+}
+
 // TestInstancesEligibleAtOnceFollowOneCoordinator guards against instances that each
 // act as coordinator for themselves when they become eligible at the same moment. It
 // comes about when all were restarted while the store was down, and get their first
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -103,6 +103,7 @@
 		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
 	}
 	f.peerStatus.Observe(known)
+	f.notices.Learn(roll.Leaving)
 	if roll.Revision == 0 {
 		return 0, false
 	}
@@ -195,7 +196,7 @@
 func (f *Forwarder) newRoll(now time.Time) *stagepb.Roll {
 	age, confirmed := f.freshness.Age() // before the status, which may be newer
 	status := f.status()
-	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version)}
+	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent()}
 	if confirmed {
 		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
