Contain panics in peer calls, stage calls and background loops

Cause: a panic in a handler of a peer's call, in a stage call's goroutine or in a loop (store watcher, election, batching, table synchronisation, limits, placement) ended the process; net/http contains only those of callers' requests. Ruled out: containing panics everywhere, as a task that holds a lock without a deferred release must not be contained.

--- a/internal/edge/watcher/era_test.go
+++ b/internal/edge/watcher/era_test.go
@@ -134,3 +134,18 @@
 		g.Expect(h.freshness.Within(revoke / 2)).To(BeTrue())
 	})
 }
+
+// TestPanicDoesNotEndTheWatcher guards against a process that ends, or that never learns
+// of a change again, because of one change that it cannot handle.
+func TestPanicDoesNotEndTheWatcher(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		h.store.mu.Lock()
+		h.store.events = append(h.store.events, change.Published{}) // has no catalog
+		h.store.mu.Unlock()
+		h.store.publish(3)
+		h.store.register("c", true)
+		time.Sleep(noticeTime)
+		g.Expect(h.accepts("c")).To(BeTrue())
+		g.Expect(h.version.Load()).To(BeEquivalentTo(3))
+	})
+}
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -18,6 +18,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
@@ -104,7 +105,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		err := w.step(ctx)
+		err := contain.Run(w.log, "step of the store's watcher", func() error { return w.step(ctx) })
 		w.removeExpired()
 		if err == nil {
 			delay = minRetryDelay
@@ -269,8 +270,12 @@
 	w.shareStatus()
 }
 
-// apply applies one change.
+// apply applies one change. One that cannot be handled is logged, and the others hold.
 func (w *Watcher) apply(c change.Change) {
+	contain.Do(w.log, "change of the store", func() { w.applyKind(c) })
+}
+
+func (w *Watcher) applyKind(c change.Change) {
 	switch c := c.(type) {
 	case change.Published:
 		w.applyCatalog(c.Catalog)
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retry"
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/poller"
 	"github.com/jacinthstile/jacinthstile/internal/entry/caller"
@@ -161,13 +162,13 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go d.instances.Run(ctx)
-	go d.syncer.Run(ctx)
-	go d.poller.Run(ctx)
-	go d.limits.Run(ctx)
-	go d.followLeaving(ctx)
-	go d.reconciler.Run(ctx)
-	go d.publishGauges(ctx)
+	go contain.Loop(ctx, d.log, "list of instances", d.instances.Run)
+	go contain.Loop(ctx, d.log, "table synchronisation", d.syncer.Run)
+	go contain.Loop(ctx, d.log, "polls of endpoints", d.poller.Run)
+	go contain.Loop(ctx, d.log, "limits", d.limits.Run)
+	go contain.Loop(ctx, d.log, "leaving endpoints", d.followLeaving)
+	go contain.Loop(ctx, d.log, "placement", d.reconciler.Run)
+	go contain.Loop(ctx, d.log, "gauges", d.publishGauges)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callerServer.Serve(d.listeners.caller) }()
 	go func() { failed <- d.operatorServer.Serve(d.listeners.operator) }()
--- a/internal/peer/transport/serve.go
+++ b/internal/peer/transport/serve.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/base/keepalive"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
@@ -41,7 +42,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go t.accept(ctx, conn)
+		go contain.Do(t.log, "session of a peer", func() { t.accept(ctx, conn) })
 	}
 }
 
@@ -107,7 +108,7 @@
 		s.inboundCalls.Add(1)
 		go func() {
 			defer s.inboundCalls.Add(-1)
-			t.serveCall(ctx, s.peer, stream)
+			contain.Do(t.log, "call of a peer", func() { t.serveCall(ctx, s.peer, stream) })
 		}()
 	}
 }
@@ -209,7 +210,11 @@
 	default:
 		return &peerpb.Response{Error: "too many calls are being handled; this one was not"}
 	}
-	body, err := t.dispatch(ctx, from, method.Method(req.Kind), req.Body)
+	var body []byte
+	err := contain.Run(t.log, "handler of a peer's call", func() (err error) {
+		body, err = t.dispatch(ctx, from, method.Method(req.Kind), req.Body)
+		return err
+	})
 	if err != nil {
 		return &peerpb.Response{Error: err.Error()}
 	}
--- a/internal/peer/transport/transport_test.go
+++ b/internal/peer/transport/transport_test.go
@@ -299,3 +299,19 @@
 	size := proto.Size(&peerpb.Pulse{Epoch: 7, Version: 1 << 40})
 	g.Expect(size).To(BeNumerically("<=", 40))
 }
+
+// TestPanicInHandlerFailsOnlyItsCall guards against a malformed message of one peer that
+// ends the process: the caller gets an error, and later calls are served.
+func TestPanicInHandlerFailsOnlyItsCall(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := start(t, "a", 1, "127.0.0.1:0", nil)
+	b, address := start(t, "b", 2, "127.0.0.1:0", nil)
+	b.Handle(method.Status, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+		return body[100:200], nil
+	})
+	_, err := a.Call(t.Context(), address, method.Status, &peerpb.Blob{}, &peerpb.Blob{})
+	g.Expect(err).To(MatchError(ContainSubstring("panicked")))
+	_, err = a.Call(t.Context(), address, method.Part, &peerpb.Blob{}, &peerpb.Blob{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.ActiveCalls()).To(BeZero())
+}
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -240,7 +241,7 @@
 	for {
 		select {
 		case <-tick.C:
-			b.tick(time.Now())
+			contain.Do(b.log, "check of stage calls", func() { b.tick(time.Now()) })
 		case <-ctx.Done():
 			return
 		}
--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
@@ -95,7 +96,7 @@
 	b.inFlight[c] = struct{}{}
 	var ctx context.Context
 	ctx, c.cancel = context.WithTimeout(context.Background(), callTimeout)
-	go b.execute(ctx, c, items)
+	go contain.Do(b.log, "stage call", func() { b.execute(ctx, c, items) })
 	return true
 }
 
--- a/internal/stage/batcher/free.go
+++ b/internal/stage/batcher/free.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
@@ -70,14 +71,20 @@
 	}
 	w.freeScheduled = true
 	b.pendingFrees++
-	time.AfterFunc(freeDelay, func() { b.flushFrees(e, w) })
+	b.flushFreesAfter(freeDelay, e, w)
+}
+
+func (b *Batcher) flushFreesAfter(delay time.Duration, e *registry.Endpoint, w *worker) {
+	time.AfterFunc(delay, func() {
+		contain.Do(b.log, "freeing results", func() { b.flushFrees(e, w) })
+	})
 }
 
 // flushFrees calls an endpoint to free the collected results. If the endpoint asked for
 // a pause, it does so afterwards.
 func (b *Batcher) flushFrees(e *registry.Endpoint, w *worker) {
 	if now := time.Now(); !b.pauses.Take(e.Name(), cooldown.Usual, now) {
-		time.AfterFunc(max(freeDelay, b.pauses.Left(e.Name(), now)), func() { b.flushFrees(e, w) })
+		b.flushFreesAfter(max(freeDelay, b.pauses.Left(e.Name(), now)), e, w)
 		return
 	}
 	b.mu.Lock()
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
@@ -217,7 +218,7 @@
 // Run runs the stage calls, and regularly removes the state of engines that are no
 // longer registered, until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	go c.batcher.Run(ctx)
+	go contain.Loop(ctx, c.log, "batching of stage work", c.batcher.Run)
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
@@ -35,7 +36,7 @@
 // or maxSettling is over. Otherwise many instances that become eligible at the same
 // moment, as when the store recovers, would each act as coordinator for themselves.
 func (f *Forwarder) Run(ctx context.Context) {
-	go f.local.Run(ctx)
+	go contain.Loop(ctx, f.log, "coordinator", f.local.Run)
 	var since time.Time // when this instance was first eligible or followed another one; zero before
 	var processor cpuspeed.Detector
 	for round := 0; ctx.Err() == nil; round++ {
@@ -127,7 +128,7 @@
 		if _, pending := f.polling.LoadOrStore(address, true); !pending {
 			go func() {
 				defer f.polling.Delete(address)
-				f.pollOne(ctx, address)
+				contain.Do(f.log, "poll of a peer", func() { f.pollOne(ctx, address) })
 			}()
 		}
 	}
