--- a/internal/edge/notice/recorder.go
+++ b/internal/edge/notice/recorder.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	tellTime     = 15 * time.Second // for which other instances are told that a process leaves
-	maxTold      = 64               // names that one message holds
-	maxNameBytes = 300              // of a name that another instance tells
+	tellTime     = 3 * time.Second // for which other instances are told that a process leaves; covers several polls
+	memory       = 2 * time.Minute // for which starting instances are told; a process that leaves has ended by then
+	maxTold      = 256             // names that one message holds
+	maxNameBytes = 300             // of a name that another instance tells
 )
 
 // Notice is what an endpoint says of itself in one response.
@@ -93,14 +94,22 @@
 
 // Recent returns the processes of which this instance learned within tellTime that they
 // leave, the latest ones if there are too many for a message.
-func (r *Recorder) Recent() []string {
+func (r *Recorder) Recent() []string { return r.since(tellTime) }
+
+// Known is like Recent, but also returns those of which it learned earlier. It is for an
+// instance that has just started, to which nothing was told yet.
+func (r *Recorder) Known() []string { return r.since(memory) }
+
+func (r *Recorder) since(age time.Duration) []string {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recent = slices.DeleteFunc(r.recent, func(t told) bool { return now.Sub(t.at) > tellTime })
+	r.recent = slices.DeleteFunc(r.recent, func(t told) bool { return now.Sub(t.at) > memory })
 	var names []string
 	for _, t := range r.recent[max(0, len(r.recent)-maxTold):] {
-		names = append(names, t.name)
+		if now.Sub(t.at) <= age {
+			names = append(names, t.name)
+		}
 	}
 	return names
 }
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -103,8 +103,8 @@
 	if roll.RestoredMs > 0 {
 		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
 	}
+	f.notices.Learn(roll.Leaving) // before Observe, which lets a starting instance serve requests with keys
 	f.peerStatus.Observe(known)
-	f.notices.Learn(roll.Leaving)
 	if roll.Revision == 0 {
 		return 0, false
 	}
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -42,7 +42,11 @@
 		now := time.Now()
 		f.election.RecordPoll(decodeRoll(&roll, now))
 		f.recordConfirmation(&roll, f.freshness.Now())
-		return proto.Marshal(f.addChanges(f.newRoll(now), positionOf(&roll)))
+		answer := f.addChanges(f.newRoll(now), positionOf(&roll))
+		if !positionOf(&roll).Known() {
+			answer.Leaving = f.notices.Known() // the peer may have started just now
+		}
+		return proto.Marshal(answer)
 	})
 	f.transport.HandleCancellable(method.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
