--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -111,6 +111,7 @@
 type harness struct {
 	g        *gomega.WithT
 	proxy    *proxy.Proxy
+	registry *registry.Registry
 	mu       sync.Mutex
 	scripts  []script
 	requests []*http.Request
@@ -131,6 +132,7 @@
 	for i := range endpoints {
 		f.Put(registry.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready}, time.Now())
 	}
+	h.registry = f
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
 	pool, closePool := connpool.New()
