--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -43,6 +43,7 @@
 	bodySent  chan error // result of writing a body in the background; nil if it was written before reading
 	stopWatch func() bool
 	bodyRead  bool
+	aborted   bool
 }
 
 // Send sends a request and reads the status line and headers of the response.
@@ -142,13 +143,17 @@
 // completely and the endpoint allows reuse. Otherwise the connection is closed.
 func (resp *Response) Close() {
 	stopped := resp.stopWatch()
-	if stopped && resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent() && resp.conn.setExpiry(resp.Header, time.Now()) {
+	if stopped && !resp.aborted && resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent() && resp.conn.setExpiry(resp.Header, time.Now()) {
 		resp.pool.put(resp.conn)
 		return
 	}
 	resp.conn.Close()
 }
 
+// Abort makes Close close the connection, since the response is not the one that was
+// expected.
+func (resp *Response) Abort() { resp.aborted = true }
+
 // requestSent reports whether the whole request has been written.
 func (resp *Response) requestSent() bool {
 	if resp.bodySent == nil {
