List a large store page by page; document the returns of the store and notices

Cause: a list of all pages had 3 s, and one that took longer began again from its first page. At 300 instances and 3,000 endpoints that list at the same moment, the pages of all need about 2.9 s of the store's link (worked out, not traced).

--- a/internal/edge/watcher/era.go
+++ b/internal/edge/watcher/era.go
@@ -32,6 +32,7 @@
 func (w *Watcher) setRestored(at position.Position) {
 	w.restoredAt = w.freshness.Now()
 	w.guard.Restored(w.restoredAt)
+	w.restores.Inc(1)
 	age, _ := w.freshness.Age()
 	w.log.Info("store restored from a copy", "position", at.String(), "before", w.position.String(), "version", w.version, "proof", age.String())
 }
@@ -67,6 +68,9 @@
 		panic("watcher: got verdict " + verdict.String())
 	}
 	if verdict != w.verdict {
+		if verdict == restore.VersionLost {
+			w.lost.Inc(1)
+		}
 		w.log.Info("what the store proves has changed", "verdict", verdict.String(), "before", w.verdict.String(),
 			"position", w.position.String(), "version", w.version, "newest", newest)
 		w.verdict = verdict
--- a/internal/edge/watcher/source.go
+++ b/internal/edge/watcher/source.go
@@ -23,7 +23,8 @@
 type Source interface {
 	// List returns all entries of the store as changes, and the position from
 	// which to watch. It need not be a snapshot: the changes may include some
-	// that are newer than this position, but all are of its era.
+	// that are newer than this position, but all are of its era. It gives up early
+	// on a store that does not answer.
 	List(ctx context.Context) ([]change.Change, position.Position, error)
 	// Watch waits for changes after a position, and returns them with the
 	// position from which to continue, which is of the same era. If there are none
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
@@ -34,10 +35,13 @@
 	// watchWait is how long a watch waits for a change. Each answer confirms that
 	// the configuration is current, and several answers fit in the time within
 	// which a revoked API key must stop working.
-	watchWait     = 1200 * time.Millisecond
-	watchMargin   = 900 * time.Millisecond // added to the wait of a watch to get its timeout; allows for a slow store
-	probeWait     = time.Millisecond       // wait of the first watch after a failure, which thus confirms the state at once
-	listTimeout   = 3 * time.Second        // for all pages of a list
+	watchWait   = 1200 * time.Millisecond
+	watchMargin = 900 * time.Millisecond // added to the wait of a watch to get its timeout; allows for a slow store
+	probeWait   = time.Millisecond       // wait of the first watch after a failure, which thus confirms the state at once
+	// listTimeout is the limit for all pages of a list. It allows for many instances that
+	// list thousands of endpoints at the same moment, over the link of one store; the
+	// Source limits the time of each page.
+	listTimeout   = 15 * time.Second
 	watchInterval = 250 * time.Millisecond // minimum time between two watches, which combines changes in quick succession
 	// reportedWatchInterval is the minimum time between two watches if another
 	// instance reports that there are changes. Many instances are in this state at
@@ -69,6 +73,8 @@
 	log       logr.Logger
 	history   *history.History // changes that were applied, for other instances
 	guard     *restore.Guard   // what answers of a restored store prove
+	restores  tally.Counter    // returns of the store from a copy
+	lost      tally.Counter    // times that the store was found to lack the newest version of the catalog
 
 	lastWatch        time.Duration     // start of the last watch, by the clock of freshness
 	version          uint64            // version of the catalog in force
@@ -85,10 +91,10 @@
 // New returns a Watcher that calls publish with each newer catalog and keeps r and
 // t current. While peer has a report that is at most maxReportAge old, the source is
 // watched only for changes that the report announces but does not include.
-func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger) *Watcher {
+func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger, scope tally.Scope) *Watcher {
 	w := &Watcher{
 		source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New(), guard: restore.New(),
-		verdict: restore.Proven,
+		verdict: restore.Proven, restores: scope.Counter("store_restores"), lost: scope.Counter("catalog_versions_lost"),
 	}
 	w.status.Store(new(Status))
 	return w
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
@@ -38,13 +39,14 @@
 // store is a simulated Source whose state the tests set. Its revision is the number
 // of its events and one.
 type store struct {
-	mu      sync.Mutex
-	state   state
-	era     uint64
-	version uint64
-	ready   map[string]bool // ids of the registered endpoints
-	events  []change.Change
-	calls   atomic.Int64 // number of List and Watch calls
+	mu       sync.Mutex
+	state    state
+	era      uint64
+	version  uint64
+	ready    map[string]bool // ids of the registered endpoints
+	events   []change.Change
+	listTime time.Duration // added to the time of a list
+	calls    atomic.Int64  // number of List and Watch calls
 }
 
 func (s *store) set(st state) {
@@ -135,6 +137,11 @@
 	if err := s.enter(ctx); err != nil {
 		return nil, position.Position{}, err
 	}
+	select {
+	case <-time.After(s.listTime):
+	case <-ctx.Done():
+		return nil, position.Position{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == compacted {
@@ -214,7 +221,7 @@
 			h.updates.Add(1)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard())
+		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard(), tally.NoopScope)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -308,6 +315,18 @@
 	})
 }
 
+// TestLongListIsNotGivenUp guards against a list that is given up and begun again for ever,
+// as all instances list thousands of endpoints at the same moment.
+func TestLongListIsNotGivenUp(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		h.store.listTime = 5 * time.Second
+		h.store.set(compacted)
+		h.store.register("b", false)
+		time.Sleep(7 * time.Second)
+		g.Expect(h.accepts("b")).To(BeFalse())
+	})
+}
+
 // TestUnreadableEntries guards against using an endpoint whose registration cannot
 // be decoded, and against dropping the catalog for an entry that cannot be decoded.
 func TestUnreadableEntries(t *testing.T) {
