Obey each notice that an endpoint leaves

Cause: a process without a start time that had said that it leaves, and whose registration was written again as ready, was not taken out by its next notice. Result: the new registry test fails without the change.

--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -90,9 +90,7 @@
 func (r *Registry) MarkLeaving(name string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.departed.markLeaving(name, now) {
-		return false
-	}
+	isNew := r.departed.markLeaving(name, now)
 	for id, e := range r.endpoints {
 		if e.Name() == name && e.State != Draining {
 			leaving := *e
@@ -101,7 +99,7 @@
 			r.publish()
 		}
 	}
-	return true
+	return isNew
 }
 
 // Remove records that a registration is missing, and reports whether the endpoint
--- a/internal/edge/registry/registry_test.go
+++ b/internal/edge/registry/registry_test.go
@@ -112,6 +112,18 @@
 	g.Expect(s.last).To(HaveKeyWithValue("leaving", registry.Ready), "the next process under the same id")
 }
 
+// TestLeavingIsObeyedEachTime guards against using an endpoint without a start time, whose
+// registration made it ready again, although it goes on to say that it leaves.
+func TestLeavingIsObeyedEachTime(t *testing.T) {
+	g := NewWithT(t)
+	r, s := newRegistry()
+	for range 2 {
+		r.Put(ready("a"), start)
+		r.MarkLeaving("a@0", start)
+		g.Expect(s.last).To(HaveKeyWithValue("a", registry.Draining))
+	}
+}
+
 // TestRemovedRegistrationReturns guards against keeping a live endpoint out of use
 // because its registration had been removed: one that registers again is used at once.
 func TestRemovedRegistrationReturns(t *testing.T) {
