Keep orders with a coordinator that is alive but slow to answer polls

Cause: a coordinator that did not answer polls for 0.9 s lost its orders in flight: they were cancelled and sent to the next one, where all their pieces ran again, although it worked on them and its connection lived (an instance that is only slow to report had its running work started again elsewhere). Change: after a failed poll an instance pings the process on the connection that it has (yamux, no handler takes part). Orders stay while it answers, for 3 s of silence at most; new orders go to the next candidate as before. A ping ends before the 0.9 s are over, so that a coordinator that is stopped, suspended or cut off is left as early as before. Ruled out: a longer limit for polls, which would delay each real loss. Result: the test fails without the change (pieces made by the other instance) and passes; a second one bounds the wait.

--- a/internal/peer/transport/dial.go
+++ b/internal/peer/transport/dial.go
@@ -23,15 +23,10 @@
 // session returns the open session with the peer at an address, whichever side
 // opened it, or opens one. Concurrent callers share one attempt to open it.
 func (t *Transport) session(ctx context.Context, address string) (*session, error) {
-	t.mu.Lock()
-	closed := t.closed
-	for _, s := range []*session{t.dialed[address], t.acceptedByAddress[address]} {
-		if s != nil && !closed && !s.mux.IsClosed() {
-			t.mu.Unlock()
-			return s, nil
-		}
+	s, closed := t.openSession(address)
+	if s != nil {
+		return s, nil
 	}
-	t.mu.Unlock()
 	if closed {
 		return nil, net.ErrClosed
 	}
@@ -51,6 +46,30 @@
 	}
 }
 
+// openSession returns the open session with the peer at an address, or nil, and whether
+// the Transport is closed.
+func (t *Transport) openSession(address string) (s *session, closed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, true
+	}
+	for _, s := range []*session{t.dialed[address], t.acceptedByAddress[address]} {
+		if s != nil && !s.mux.IsClosed() {
+			return s, false
+		}
+	}
+	return nil, false
+}
+
+// Ping reports whether the process at address answers, before ctx ends, on the session
+// that is open with it. It opens no session. An instance that is slow to handle calls
+// answers; one that is stopped, suspended or cut off does not.
+func (t *Transport) Ping(ctx context.Context, address string) bool {
+	s, _ := t.openSession(address)
+	return s != nil && s.answersPing(ctx)
+}
+
 // open dials a new session, stores it and reports the outcome to the observer.
 func (t *Transport) open(ctx context.Context, address string) (*session, error) {
 	s, peerAddress, err := t.dial(ctx, address)
--- a/internal/peer/transport/session.go
+++ b/internal/peer/transport/session.go
@@ -73,6 +73,22 @@
 	return nil
 }
 
+// answersPing reports whether the peer's process answers on the session before ctx ends.
+// No handler of the peer takes part.
+func (s *session) answersPing(ctx context.Context) bool {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func exchange(stream *yamux.Stream, req *peerpb.Request) (*peerpb.Response, error) {
 	if _, err := protodelim.MarshalTo(stream, req); err != nil {
 		return nil, err
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -90,6 +90,7 @@
 	revision   atomic.Uint64 // of the store, at least 1
 	version    atomic.Uint64 // of the catalog in force
 	ineligible atomic.Bool
+	silent     atomic.Bool // does not answer polls, for as long as it is set
 	stop       func()
 }
 
@@ -97,6 +98,9 @@
 func at(revision uint64) position.Position { return position.Position{Revision: revision} }
 
 func (in *instance) status() watcher.Status {
+	for in.silent.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
 	return watcher.Status{Position: at(max(1, in.revision.Load())), Version: in.version.Load()}
 }
 
@@ -224,6 +228,49 @@
 	g.Expect(a.Inputs).To(ConsistOf("weak/1", "weak/2"))
 }
 
+// TestOrderStaysWithASilentCoordinator guards against starting running work again elsewhere
+// because the coordinator is slow to answer polls for a while, although it works on the
+// order and its connection lives.
+func TestOrderStaysWithASilentCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	weak := c.start(t, &fakeExecutor{name: "weak"}, 100)
+	strong := c.start(t, &fakeExecutor{name: "strong", hold: make(chan struct{})}, 400)
+	answered := make(chan []string, 1)
+	go func() {
+		p, _ := weak.Prepare(t.Context(), c.round("r1", 8*time.Second))
+		answered <- p.Inputs
+	}()
+	g.Consistently(answered, 700*time.Millisecond).ShouldNot(Receive())
+	strong.silent.Store(true)
+	time.AfterFunc(1500*time.Millisecond, func() {
+		close(strong.hold)
+		strong.silent.Store(false)
+	})
+	g.Eventually(answered, waitLimit).Should(Receive(ConsistOf("strong/1", "strong/2")))
+	g.Expect(weak.made.Load()).To(BeZero(), "pieces that were executed again elsewhere")
+}
+
+// TestOrderLeavesACoordinatorThatStaysSilent guards against an order that waits for its
+// deadline because its coordinator never answers polls again, although its process lives.
+func TestOrderLeavesACoordinatorThatStaysSilent(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	weak := c.start(t, &fakeExecutor{name: "weak"}, 100)
+	strong := c.start(t, &fakeExecutor{name: "strong", hold: make(chan struct{})}, 400)
+	defer strong.silent.Store(false)
+	answered := make(chan []string, 1)
+	start := time.Now()
+	go func() {
+		p, _ := weak.Prepare(t.Context(), c.round("r1", 9*time.Second))
+		answered <- p.Inputs
+	}()
+	g.Consistently(answered, 700*time.Millisecond).ShouldNot(Receive())
+	strong.silent.Store(true)
+	g.Eventually(answered, waitLimit).Should(Receive(ConsistOf("weak/1", "weak/2")))
+	g.Expect(time.Since(start)).To(BeNumerically("<", 7*time.Second))
+}
+
 // TestRefusalKeepsCodeAndRetryTime guards against a refusal of the coordinator that
 // loses its code or its retry time on the way back, or counts as a lost coordinator:
 // no stage has an endpoint, so the order is refused.
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -19,7 +19,8 @@
 	pollInterval      = 300 * time.Millisecond
 	roundsPerFullPoll = 4 // rounds in between poll the leader and the active coordinators only
 	pollTimeout       = 400 * time.Millisecond
-	settlingInterval  = 60 * time.Millisecond // between polls while this instance settles
+	pingTimeout       = 150 * time.Millisecond // ends before an instance that does not answer polls counts as lost
+	settlingInterval  = 60 * time.Millisecond  // between polls while this instance settles
 	// maxSettling is how long an eligible instance waits at most to find another one
 	// to follow. It covers two polls, and the time within which a store that has recovered
 	// answers all instances.
@@ -144,8 +145,12 @@
 	pollTime := f.freshness.Now()
 	if _, err := f.transport.Call(ctx, address, method.StageRoll, own, roll); err != nil {
 		f.election.RecordFailure(address)
+		f.pingCoordinator(address)
 		return
 	}
+	if c := f.knownCoordinator(address); c != nil {
+		c.silent.Store(0)
+	}
 	now := time.Now()
 	f.election.RecordAnswer(address, decodeRoll(roll, now), now)
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
@@ -156,8 +161,31 @@
 	}
 }
 
+// knownCoordinator returns the state kept for the instance at address, or nil.
+func (f *Forwarder) knownCoordinator(address string) *remoteCoordinator {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.coordinators[address]
+}
+
+// pingCoordinator records whether an instance that did not answer a poll, and that works on
+// orders of this one, is alive.
+func (f *Forwarder) pingCoordinator(address string) {
+	c := f.knownCoordinator(address)
+	if c == nil || c.inFlight.Load() == 0 {
+		return
+	}
+	c.silent.CompareAndSwap(0, time.Now().UnixNano())
+	ctx, cancel := context.WithTimeout(c.ctx, pingTimeout)
+	defer cancel()
+	if f.transport.Ping(ctx, address) {
+		c.alive.Store(time.Now().UnixNano())
+		f.log.Info("coordinator is alive but does not answer polls", "leader", address, "orders", c.inFlight.Load())
+	}
+}
+
 // updateLeader records and logs a change of the leader, and cancels the calls to
-// coordinators that no longer answer polls.
+// coordinators that no longer answer polls, unless their process is alive.
 func (f *Forwarder) updateLeader(now time.Time) {
 	leader := f.election.Leader(now)
 	f.mu.Lock()
@@ -168,7 +196,7 @@
 		f.peerStatus.Clear()
 	}
 	for address, c := range f.coordinators {
-		if c.inFlight.Load() > 0 && f.election.TimedOut(address, now) {
+		if c.inFlight.Load() > 0 && f.election.TimedOut(address, now) && !c.isAlive(now) {
 			c.cancel()
 			delete(f.coordinators, address)
 		}
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -15,10 +15,14 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
 
 const (
+	// maxSilence is how long orders stay with a coordinator that is alive but does not
+	// answer polls. It leaves most requests time for another coordinator.
+	maxSilence = 3 * time.Second
 	// progressInterval is how long progress is collected before it is sent, so that
 	// one message carries the progress of many requests.
 	progressInterval = 25 * time.Millisecond
@@ -35,6 +39,8 @@
 	ctx      context.Context // cancelled when the coordinator counts as lost
 	cancel   context.CancelFunc
 	inFlight atomic.Int64 // orders sent to it that it has not answered
+	silent   atomic.Int64 // when the first of its latest failed polls failed, in Unix nanoseconds; zero if it answered the last one
+	alive    atomic.Int64 // when its process last answered a ping after a failed poll, in Unix nanoseconds; zero for never
 
 	mu       sync.Mutex
 	started  []string // ids of orders whose inputs are no longer needed, to be sent
@@ -120,6 +126,12 @@
 	}, nil
 }
 
+// isAlive reports whether the coordinator's process answered a ping not long ago although
+// it has not answered polls, for maxSilence at most: it is slow, but works on its orders.
+func (c *remoteCoordinator) isAlive(now time.Time) bool {
+	return now.Sub(time.Unix(0, c.alive.Load())) < election.LeaderTimeout && now.Sub(time.Unix(0, c.silent.Load())) < maxSilence
+}
+
 // report queues the progress of requests for the coordinator, by the ids of their
 // orders, and schedules a flush if none is scheduled.
 func (f *Forwarder) report(c *remoteCoordinator, started, ended []string) {
