--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -138,8 +138,11 @@
 	if err := s.enter(ctx); err != nil {
 		return nil, position.Position{}, err
 	}
+	s.mu.Lock()
+	listTime := s.listTime
+	s.mu.Unlock()
 	select {
-	case <-time.After(s.listTime):
+	case <-time.After(listTime):
 	case <-ctx.Done():
 		return nil, position.Position{}, ctx.Err()
 	}
@@ -325,7 +328,9 @@
 // as all instances list thousands of endpoints at the same moment.
 func TestLongListIsNotGivenUp(t *testing.T) {
 	run(t, func(g *WithT, h *harness) {
+		h.store.mu.Lock()
 		h.store.listTime = 5 * time.Second
+		h.store.mu.Unlock()
 		h.store.set(compacted)
 		h.store.register("b", false)
 		time.Sleep(7 * time.Second)
