--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,7 +159,7 @@
 	*batcher.Batcher
 	executor *fakeExecutor
 	pauses   *cooldown.Tracker
-	index    *registry.Index
+	index    atomic.Pointer[registry.Index]
 	jobCount int
 }
 
@@ -168,12 +169,12 @@
 		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New()}
 		batch := catalog.Batch{MaxPieces: maxPieces, MaxCalls: 1, CallOverhead: callTime, PieceTime: itemTime, ResultBytes: 1000, ResultRetention: 4 * time.Second}
 		c := catalog.New(1, nil, []*catalog.Service{{Name: "first", Batch: &batch}, {Name: "second", Batch: &batch}}, nil, false, catalog.Limits{})
-		f.index = registry.NewIndex([]*registry.Endpoint{
+		f.index.Store(registry.NewIndex([]*registry.Endpoint{
 			{ID: "a", Service: "first", Address: "a:1", State: registry.Ready},
 			{ID: "b", Service: "first", Address: "b:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
-		})
-		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, func() *registry.Index { return f.index }, f.executor, f.pauses, logr.Discard())
+		}))
+		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -410,7 +411,7 @@
 // Guards against jobs that wait in vain where no endpoint is registered.
 func TestJobWithoutEndpointIsRefusedAtOnce(t *testing.T) {
 	withFixture(t, func(g *WithT, f *fixture) {
-		f.index = registry.NewIndex(nil)
+		f.index.Store(registry.NewIndex(nil))
 		start := time.Now()
 		err := f.prepare(f.job(1, 1, 3*time.Second))[0]
 		g.Expect(time.Since(start)).To(BeZero())
@@ -515,11 +516,11 @@
 // the inputs are gone, which must not cause any piece to be executed again.
 func TestLateOutcomeOfPieceExecutedElsewhere(t *testing.T) {
 	withFixture(t, func(g *WithT, f *fixture) {
-		f.index = registry.NewIndex([]*registry.Endpoint{
+		f.index.Store(registry.NewIndex([]*registry.Endpoint{
 			{ID: "a", Service: "first", Address: "a:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
 			{ID: "d", Service: "second", Address: "d:1", State: registry.Ready},
-		})
+		}))
 		f.executor.extraTime["c"] = 2 * time.Second
 		now := time.Now()
 		stages := []catalog.Stage{
@@ -580,7 +581,7 @@
 		}
 		f.prepare(f.job(2, 2, 2*time.Second))
 		g.Expect(f.ReachesEndpoints()).To(BeFalse())
-		f.index = registry.NewIndex(nil)
+		f.index.Store(registry.NewIndex(nil))
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(f.ReachesEndpoints()).To(BeTrue())
 	})
