Wait for another instance at a start only if the store has come back from a copy

Change: it does so only where the store's era is above zero, since a store that never came back from a copy has lost nothing. Result: the new test (starts in era 0 and 3) fails without the change.

--- a/internal/edge/watcher/era_test.go
+++ b/internal/edge/watcher/era_test.go
@@ -3,16 +3,23 @@
 // This file simulates a store that comes back from a copy some seconds old.
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
+	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/restore"
+	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 )
 
 const noticeTime = 2 * time.Second // one watch in progress, the next one and a list
@@ -104,6 +111,46 @@
 	})
 }
 
+// TestStartOfAnInstance guards against refusing requests with a key for no reason after a
+// start, and against trusting a store that may have lost a version: only if the store has
+// come back from a copy, an instance that starts first hears from another one.
+func TestStartOfAnInstance(t *testing.T) {
+	for _, c := range []struct {
+		era         uint64
+		heardAt     time.Duration // zero for never
+		unconfirmed time.Duration // since the start
+		confirmed   time.Duration
+	}{
+		{0, 0, 0, 20 * time.Millisecond},
+		{3, 0, 500 * time.Millisecond, 700 * time.Millisecond},
+		{3, 100 * time.Millisecond, 90 * time.Millisecond, 150 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			start := time.Now()
+			s := &store{era: c.era, version: 1, ready: map[string]bool{}}
+			tracker := freshness.New(func() time.Duration { return time.Since(start) + time.Hour })
+			peer := peerstatus.New()
+			w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
+			if c.heardAt > 0 {
+				time.AfterFunc(c.heardAt, func() { peer.Observe(peerstatus.Known{}) })
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.Run(ctx)
+			}()
+			time.Sleep(c.unconfirmed)
+			g.Expect(tracker.Within(time.Hour)).To(BeFalse(), "%+v", c)
+			time.Sleep(c.confirmed - c.unconfirmed)
+			g.Expect(tracker.Within(time.Hour)).To(BeTrue(), "%+v", c)
+			cancel()
+			<-done
+		})
+	}
+}
+
 // TestNewVersionIsNotLost guards against refusing keys because another instance has a newer
 // version of the catalog in force some milliseconds before this one: a report of changes
 // names a version that neither its sender nor this instance has yet, and the store returns
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -225,7 +225,8 @@
 	w.position, w.listed = at, true
 	w.history.Reset(at)
 	w.shareStatus()
-	if first && w.awaitPeers(ctx).Version > w.version {
+	// A store that has never come back from a copy has lost nothing.
+	if first && at.Era > 0 && w.awaitPeers(ctx).Version > w.version {
 		return nil // the store is asked again, which then must have that version
 	}
 	w.confirm(started, fleet.Version)
