--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -23,8 +23,10 @@
 	LatestStart time.Time // latest time at which starting the call is still useful
 	Value       T
 
-	index int              // position in the heap of its account; -1 if it is not queued
-	owner *accountQueue[T] // nil if it is not queued
+	index      int              // position in the heap of its account; -1 if it is not queued
+	owner      *accountQueue[T] // nil if it is not queued
+	pop        uint64           // number of its last pop
+	rateBefore popRate          // of the queue, before its last pop
 }
 
 // accountQueue holds the waiting calls of one account.
@@ -37,13 +39,13 @@
 
 // Queue is a bounded, weighted fair queue. It is safe for concurrent use.
 type Queue[T any] struct {
-	mu           sync.Mutex
-	capacity     int
-	size         int
-	virtualTime  float64 // pass of the account that was served last
-	accounts     map[string]*accountQueue[T]
-	popRate      popRate
-	previousRate popRate // popRate before the last pop, which Return restores
+	mu          sync.Mutex
+	capacity    int
+	size        int
+	virtualTime float64 // pass of the account that was served last
+	accounts    map[string]*accountQueue[T]
+	popRate     popRate
+	pops        uint64 // items that were popped and not returned
 }
 
 // popRate measures the rate at which items are popped while others wait.
@@ -131,14 +133,16 @@
 	q.remove(item)
 	q.virtualTime = next.pass
 	next.pass += 1 / next.weight
-	q.previousRate = q.popRate
+	q.pops++
+	item.pop, item.rateBefore = q.pops, q.popRate
 	q.popRate.record(now)
 	return item
 }
 
 // Return puts back an item that was popped but could not start. It restores the
-// account's share as it was before the pop, and the pop rate as it was before the
-// last pop, so that the failed start does not count. It does not check the capacity.
+// account's share as it was before the pop, and the pop rate too if no item was popped
+// since and kept, so that the failed start does not count. It does not check the
+// capacity.
 func (q *Queue[T]) Return(it *Item[T]) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -148,7 +152,10 @@
 		q.accounts[it.Account] = a
 	}
 	a.pass = max(0, a.pass-1/a.weight)
-	q.popRate = q.previousRate
+	if it.pop == q.pops {
+		q.popRate = it.rateBefore
+		q.pops--
+	}
 	it.owner = a
 	heap.Push(&a.items, it)
 	q.size++
--- a/internal/admission/queue/queue_test.go
+++ b/internal/admission/queue/queue_test.go
@@ -191,3 +191,26 @@
 	q.Push(item("a", 1, 9*time.Second, 9))
 	g.Expect(q.PopBest(now.Add(4*time.Second), all, score).Value).To(Equal(1), "the first item must start within one second")
 }
+
+// TestReturnsRestoreTheRate guards against a predicted wait that is too short because
+// items that were popped and returned count as started.
+func TestReturnsRestoreTheRate(t *testing.T) {
+	g := NewWithT(t)
+	q := queue.New[int](1000)
+	for i := range 400 {
+		q.Push(item("a", 1, time.Hour, i))
+	}
+	at := now
+	for range 200 {
+		at = at.Add(10 * time.Millisecond)
+		q.Pop(at)
+	}
+	want := q.PredictWait("a", 1)
+	for range 50 {
+		first, second, third := q.Pop(at), q.Pop(at), q.Pop(at)
+		q.Return(third)
+		q.Return(second)
+		q.Return(first)
+	}
+	g.Expect(q.PredictWait("a", 1)).To(Equal(want))
+}
--- a/internal/command/root/trace.go
+++ b/internal/command/root/trace.go
@@ -52,5 +52,5 @@
 		defer f.Close()
 		readers = append(readers, f)
 	}
-	return trace.Read(io.MultiReader(readers...), id)
+	return trace.Read(trace.Join(readers...), id)
 }
--- a/internal/command/trace/trace.go
+++ b/internal/command/trace/trace.go
@@ -51,6 +51,16 @@
 	return t, nil
 }
 
+// Join returns a reader of several log files, one after the other. It separates them by
+// a newline, since the last line of a file may have none.
+func Join(files ...io.Reader) io.Reader {
+	var parts []io.Reader
+	for _, f := range files {
+		parts = append(parts, f, strings.NewReader("\n"))
+	}
+	return io.MultiReader(parts...)
+}
+
 // add adds a line if it belongs to the request.
 func (t *Trace) add(text []byte) {
 	start := bytes.IndexByte(text, '{')
--- a/internal/command/trace/trace_test.go
+++ b/internal/command/trace/trace_test.go
@@ -35,3 +35,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(tr.Lines).To(BeEmpty())
 }
+
+// TestFilesWithoutLastNewline guards against losing the last line of a file and the first
+// one of the next file, where the former has no newline at its end.
+func TestFilesWithoutLastNewline(t *testing.T) {
+	g := NewWithT(t)
+	line := `{"request":"a1","msg":"m"}`
+	tr, err := trace.Read(trace.Join(strings.NewReader(line), strings.NewReader(line+"\n"), strings.NewReader(line)), "a1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(tr.Lines).To(HaveLen(3))
+}
--- a/internal/limit/usage/usage.go
+++ b/internal/limit/usage/usage.go
@@ -49,11 +49,11 @@
 
 // Lend lends one of the seat's units to a peer until the given time. It reports
 // false if none is free. It is idempotent: a permit that is lent already keeps
-// its unit and takes no second one. A permit whose return was handled first is
+// its unit and takes no second one, and one that has expired is not lent again. A permit whose return was handled first is
 // not lent, because no further return of it will arrive.
 func (u *Usage) Lend(permit uint64, units int, until, now time.Time) bool {
-	if _, known := u.lent[permit]; known {
-		return true
+	if lentUntil, known := u.lent[permit]; known {
+		return now.Before(lentUntil)
 	}
 	if _, back := u.returned[permit]; back || !u.hasFree(units, now) {
 		return false
--- a/internal/limit/usage/usage_test.go
+++ b/internal/limit/usage/usage_test.go
@@ -72,3 +72,13 @@
 	g.Expect(s.Idle(start.Add(99*time.Second), time.Minute)).To(BeFalse())
 	g.Expect(s.Idle(start.Add(100*time.Second), time.Minute)).To(BeTrue())
 }
+
+// A request for a loan that arrives a second time, after the loan has expired, must not
+// be answered as lent: the unit may be in use by then.
+func TestExpiredLoanIsNotLent(t *testing.T) {
+	g := NewWithT(t)
+	s := usage.New()
+	until := start.Add(10 * time.Second)
+	g.Expect(s.Lend(1, 1, until, start)).To(BeTrue())
+	g.Expect(s.Lend(1, 1, until, until)).To(BeFalse())
+}
--- a/internal/routing/cacheaware/selector.go
+++ b/internal/routing/cacheaware/selector.go
@@ -13,6 +13,7 @@
 // This file defines Selector, Request and Choice.
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -116,9 +117,10 @@
 // best returns the choice with the lowest cost; its Engine is nil without engines.
 func (s *Selector) best(r Request, prompt []prefixPart, engines []*registry.Endpoint, capacity int, now time.Time) Choice {
 	best := Choice{}
+	allTried := !slices.ContainsFunc(engines, func(e *registry.Endpoint) bool { return !r.Tried[e.Name()] })
 	for _, e := range engines {
 		name := e.Name()
-		if r.Tried[name] && len(engines) > len(r.Tried) {
+		if r.Tried[name] && !allTried {
 			continue
 		}
 		eng := s.engine(name, capacity)
--- a/internal/routing/cacheaware/selector_test.go
+++ b/internal/routing/cacheaware/selector_test.go
@@ -170,3 +170,13 @@
 	g.Expect(c.Preview(newRequest("new", "fresh"), engines[:1], capacity, start).Cost).
 		To(BeNumerically(">", 2*c.Preview(newRequest("new", "fresh"), engines[1:], capacity, start).Cost))
 }
+
+// TestTriedEngineIsAvoidedWhileOthersExist guards against choosing an engine again that
+// failed the request, because other engines that failed it are gone since.
+func TestTriedEngineIsAvoidedWhileOthersExist(t *testing.T) {
+	s := cacheaware.New()
+	r := newRequest("1", "x")
+	s.Assign(r, engines[:1], capacity, start) // the first engine has the prompt cached
+	r.Tried = map[string]bool{engines[0].Name(): true, "gone@1": true, "gone@2": true}
+	NewWithT(t).Expect(s.Assign(r, engines, capacity, start).Engine).To(BeIdenticalTo(engines[1]))
+}
--- a/internal/routing/outlier/outlier.go
+++ b/internal/routing/outlier/outlier.go
@@ -7,6 +7,7 @@
 // This file defines Detector and Sample.
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -95,12 +96,7 @@
 			d.candidates = append(d.candidates, candidate{s, x})
 		}
 	}
-	slices.SortStableFunc(d.candidates, func(a, b candidate) int {
-		if a.excess > b.excess {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(d.candidates, func(a, b candidate) int { return cmp.Compare(b.excess, a.excess) })
 	for _, c := range d.candidates[:min(allowed, len(d.candidates))] {
 		d.eject(c.sample, now)
 	}
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +32,7 @@
 	freeTimeout     = 2 * time.Second       // limit for one call that frees results
 	maxFailedPieces = 8                     // a job with more failed executions is aborted
 	maxJobs         = 4096
+	busyRetryAfter  = 300 * time.Millisecond // for a refusal because of maxJobs: some of the jobs have ended by then
 )
 
 // Batcher runs jobs. It is safe for concurrent use.
@@ -64,8 +64,6 @@
 	stageLog     []string      // for each finished stage: service, time since start, and endpoint of the last piece
 }
 
-var errEnded = errors.New("the job was ended")
-
 // New returns a Batcher without jobs. The function currentCatalog returns nil while
 // there is no catalog; currentEndpoints returns the index of the known endpoints; pauses
 // holds those of them that asked for a pause.
@@ -109,7 +107,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.jobs[j.ID] != nil || len(b.jobs) >= maxJobs {
-		return nil, fault.New(code.Overloaded, "%d jobs are under way", len(b.jobs))
+		refusal := fault.New(code.Overloaded, "%d jobs are under way, or one with the id %s", len(b.jobs), j.ID)
+		refusal.RetryAfter = busyRetryAfter
+		return nil, refusal
 	}
 	c := b.catalog()
 	if c == nil {
@@ -129,6 +129,11 @@
 	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline, start: now, predicted: v.Predicted}
 	b.jobs[j.ID] = e
 	b.scheduler.Add(j)
+	if j.Finished() { // it has no pieces
+		j.Ended = true
+		e.finish(nil)
+		return e, nil
+	}
 	b.dispatch(now, refreshed)
 	return e, nil
 }
@@ -178,8 +183,15 @@
 	b.scheduler.Remove(e.job)
 	b.freeAll(e)
 	delete(b.jobs, e.job.ID)
+	ended := fault.New(code.NotReady, "the order %s was ended while its stages ran", e.job.ID)
+	ended.RetryAfter = busyRetryAfter
+	e.finish(ended) // wakes Prepare if it still waits
+}
+
+// finish hands the end of the job to Prepare. Only the first call counts.
+func (e *entry) finish(err error) {
 	select {
-	case e.done <- errEnded: // wakes Prepare if it still waits
+	case e.done <- err:
 	default:
 	}
 }
@@ -187,7 +199,7 @@
 // abort ends a job that cannot be finished; Prepare returns the reason.
 func (b *Batcher) abort(e *entry, reason *fault.Fault) {
 	b.log.Info("job given up", "request", e.job.Request, "reason", reason.Error())
-	e.done <- reason
+	e.finish(reason)
 	b.remove(e)
 }
 
@@ -238,6 +250,7 @@
 func (b *Batcher) tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.dropGoneWorkers()
 	if len(b.jobs) == 0 {
 		return
 	}
@@ -254,6 +267,5 @@
 	for c := range b.inFlight {
 		b.checkOverdue(c, now)
 	}
-	b.dropGoneWorkers()
 	b.dispatch(now, nil)
 }
--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -545,3 +545,43 @@
 	g.Expect(fault.From(err).Code).To(Equal(code.NotReady))
 	g.Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
 }
+
+// Guards against the code of an unexpected error for a job that its coordinator was told
+// to end while it was being prepared: nothing of the request ran, and the caller must be
+// told when to come back.
+func TestJobEndedWhileItRunsIsRefused(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		j := f.job(2, 2, 3*time.Second)
+		time.AfterFunc(100*time.Millisecond, func() { f.Release(j.ID) })
+		refusal := fault.From(f.prepare(j)[0])
+		g.Expect(refusal.Code).To(Equal(code.NotReady))
+		g.Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+}
+
+// Guards against a job without pieces that waits for a result.
+func TestJobWithoutPiecesIsDoneAtOnce(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		start := time.Now()
+		j := f.job(0, 0, time.Second)
+		expectSuccess(g, f.prepare(j))
+		g.Expect(time.Since(start)).To(BeZero())
+		f.Release(j.ID)
+		g.Expect(f.Jobs()).To(BeZero())
+	})
+}
+
+// Guards against an instance that counts as cut off from endpoints because of endpoints
+// that failed their last calls and are gone since, as no further job has come.
+func TestGoneEndpointsDoNotCountAsUnreachable(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		f.executor.intercept = func(*registry.Endpoint, []executor.Item) ([]executor.Outcome, error, bool) {
+			return nil, failure.New(failure.Lost, errReset, "sending"), true
+		}
+		f.prepare(f.job(2, 2, 2*time.Second))
+		g.Expect(f.ReachesEndpoints()).To(BeFalse())
+		f.index = registry.NewIndex(nil)
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(f.ReachesEndpoints()).To(BeTrue())
+	})
+}
--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -221,7 +221,7 @@
 		e.expires = time.Now().Add(max(b.retention(c.endpoint.Service), freeTimeout))
 		b.log.Info("job done", "request", p.Job.Request, "took", time.Since(e.start).String(), "predicted", e.predicted.String(),
 			"spare", time.Until(p.Job.Goal).String(), "faults", e.failedPieces, "stages", e.stageLog)
-		e.done <- nil
+		e.finish(nil)
 	}
 }
 
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -100,6 +100,9 @@
 	o.Job.Goal = goal
 	c.setTimes(o)
 	results, err := c.batcher.Prepare(ctx, o.Job)
+	if ctx.Err() != nil && err != nil {
+		return nil, err // the caller has left; nobody was refused
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -13,7 +13,7 @@
 
 import (
 	"context"
-	"strconv"
+	"fmt"
 	"sync"
 	"time"
 
@@ -94,12 +94,12 @@
 	if err := f.waitSettled(ctx); err != nil {
 		return proxy.Prepared{}, err
 	}
-	for range maxCoordinators {
+	for attempt := range maxCoordinators {
 		leader := f.election.Leader(time.Now())
 		if leader == f.self {
 			break
 		}
-		p, err := f.prepareRemotely(ctx, f.remoteCoordinator(leader), r)
+		p, err := f.prepareRemotely(ctx, f.remoteCoordinator(leader), r, orderID(r, attempt))
 		if err == nil || !isLost(err) || ctx.Err() != nil {
 			return p, err
 		}
@@ -129,7 +129,7 @@
 
 // prepareLocally has this instance carry out the order itself.
 func (f *Forwarder) prepareLocally(ctx context.Context, r proxy.PrepareParams) (proxy.Prepared, error) {
-	o := newOrder(r)
+	o := newOrder(r, orderID(r, maxCoordinators))
 	ready, err := f.local.Prepare(ctx, o)
 	if err != nil {
 		f.local.Ended([]string{o.ID})
@@ -142,9 +142,9 @@
 	}, nil
 }
 
-func newOrder(r proxy.PrepareParams) coordinator.Order {
+func newOrder(r proxy.PrepareParams, id string) coordinator.Order {
 	req := r.Request
-	o := coordinator.Order{ID: orderID(r), Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried}
+	o := coordinator.Order{ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried}
 	if req.NeedsStages() {
 		o.Job = job.New(o.ID, req.ID, req.PieceKey, req.Route.Stages, req.Pieces, req.SchedulingPriority(), req.Goal, req.Deadline)
 	}
@@ -152,6 +152,9 @@
 }
 
 // orderID returns the id of the order for one preparation of a request. It contains
-// the number of the round, so that progress reported for one preparation does not apply
-// to another one of the same request.
-func orderID(r proxy.PrepareParams) string { return r.Request.ID + "." + strconv.Itoa(r.Round) }
+// the numbers of the round and of the attempt, so that progress reported for one order
+// does not apply to another one of the same request: the end of an order that was given
+// up may arrive after the next one, at the same coordinator.
+func orderID(r proxy.PrepareParams, attempt int) string {
+	return fmt.Sprintf("%s.%d.%d", r.Request.ID, r.Round, attempt)
+}
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -70,12 +70,11 @@
 
 // prepareRemotely sends an order to the coordinator and waits for its answer. If it
 // fails, it reports the request as ended, in case the coordinator holds the order.
-func (f *Forwarder) prepareRemotely(ctx context.Context, c *remoteCoordinator, r proxy.PrepareParams) (proxy.Prepared, error) {
+func (f *Forwarder) prepareRemotely(ctx context.Context, c *remoteCoordinator, r proxy.PrepareParams, id string) (proxy.Prepared, error) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	id := orderID(r)
 	out := new(stagepb.Outcome)
-	if err := f.call(ctx, c, method.StageOrder, encodeOrder(r), out); err != nil {
+	if err := f.call(ctx, c, method.StageOrder, encodeOrder(r, id), out); err != nil {
 		f.report(c, nil, []string{id})
 		return proxy.Prepared{}, err
 	}
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -23,6 +23,7 @@
 
 const (
 	maxPieces = 4096 // in one order, over all of its stages
+	maxStages = 16   // in one order
 	// maxRemaining bounds every duration that is taken from a peer's message, in both
 	// directions.
 	maxRemaining = 10 * time.Minute
@@ -66,12 +67,12 @@
 	})
 }
 
-// encodeOrder returns the message of an order. Its times are sent as the time left
+// encodeOrder returns the message of an order with the given id. Its times are sent as the time left
 // until them, so that the clocks of the instances need not agree.
-func encodeOrder(r proxy.PrepareParams) *stagepb.Order {
+func encodeOrder(r proxy.PrepareParams, id string) *stagepb.Order {
 	req := r.Request
 	o := &stagepb.Order{
-		Id: orderID(r), Request: req.ID, Key: req.PieceKey, Rank: uint32(req.SchedulingPriority()), GoalMs: time.Until(req.Goal).Milliseconds(),
+		Id: id, Request: req.ID, Key: req.PieceKey, Rank: uint32(req.SchedulingPriority()), GoalMs: time.Until(req.Goal).Milliseconds(),
 		DeadlineMs: uint64(max(0, time.Until(req.Deadline).Milliseconds())), Service: req.Service,
 		Tried: r.Tried,
 	}
@@ -92,7 +93,7 @@
 
 // decodeOrder returns the order of a message that was received at the time now. It
 // refuses an order with a stage that depends on itself or a later one, or with more
-// than maxPieces pieces.
+// than maxStages stages or maxPieces pieces.
 func decodeOrder(in *stagepb.Order, now time.Time) (coordinator.Order, error) {
 	o := coordinator.Order{ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried}
 	for _, p := range in.Prompt {
@@ -101,6 +102,9 @@
 	if len(in.Stages) == 0 {
 		return o, nil
 	}
+	if len(in.Stages) > maxStages {
+		return coordinator.Order{}, fmt.Errorf("order %s: got %d stages, want %d at most", in.Id, len(in.Stages), maxStages)
+	}
 	stages := make([]catalog.Stage, len(in.Stages))
 	pieces := make([]int, len(in.Stages))
 	total := 0
--- a/internal/stage/scheduler/admission.go
+++ b/internal/stage/scheduler/admission.go
@@ -126,8 +126,11 @@
 // admission shares of its services, but it is not added: the caller calls Add.
 func (s *Scheduler) CheckAdmission(j *job.Job, now time.Time) Decision {
 	d, bottleneck := s.predict(j)
-	if bottleneck == nil {
+	switch {
+	case d.Reason == NoEndpoint:
 		return d
+	case bottleneck == nil:
+		return Decision{Admit: true, Reason: InTime} // the job has no pieces
 	}
 	d.Predicted = time.Duration(predictionMargin * float64(d.Predicted))
 	left := j.Goal.Add(j.FirstEvent - s.kindMeans.record(j)).Sub(now)
--- a/internal/stage/scheduler/scheduler.go
+++ b/internal/stage/scheduler/scheduler.go
@@ -172,9 +172,10 @@
 }
 
 // Requeue queues a piece again that a call did not execute, or not in time. It
-// does nothing if the job has ended, the piece has a result or is queued already.
+// does nothing if the job has ended, or if the piece has a result, is queued already
+// or waits for an earlier stage whose results were lost.
 func (s *Scheduler) Requeue(p Piece) {
-	if p.Job.Ended || p.Job.Results[p.Stage][p.Index].Handle != "" {
+	if p.Job.Ended || !p.Job.Queued[p.Stage] || p.Job.Results[p.Stage][p.Index].Handle != "" {
 		return
 	}
 	q := s.queueFor(p.Job.Stages[p.Stage].Service)
--- a/internal/stage/scheduler/scheduler_test.go
+++ b/internal/stage/scheduler/scheduler_test.go
@@ -266,3 +266,36 @@
 		g.Expect(p.Job.OutputCentre).To(Equal("a"))
 	}
 }
+
+// TestFailedCallOfBlockedStageQueuesNothing guards against executing the pieces of a
+// later stage twice: its call fails after the results of its inputs were lost, so that
+// its pieces will be queued when the inputs are there again.
+func TestFailedCallOfBlockedStageQueuesNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(map[string]float64{"a": 1})
+	stages := []catalog.Stage{{Service: "s", Bytes: 10}, {Service: "s", After: []int{0}, Bytes: 10}}
+	j := job.New("j", "j", "key", stages, []int{1, 2}, 0, start.Add(time.Second), start.Add(2*time.Second))
+	s.Add(j)
+	worker := scheduler.Worker{Service: "s", Centre: "a", FreeBytes: 1000, Slowdown: 1}
+	input := s.NextBatch(worker, start)[0]
+	s.RecordResult(input, job.Result{Handle: "h", Endpoint: "m"})
+	later := s.NextBatch(worker, start)
+	g.Expect(later).To(HaveLen(2))
+	s.InvalidateResults(j, func(job.Result) bool { return true })
+	for _, p := range later {
+		s.Requeue(p)
+	}
+	g.Expect(s.Waiting("s")).To(Equal(1), "only the input can be executed")
+	again := s.NextBatch(worker, start)
+	g.Expect(again).To(Equal([]scheduler.Piece{input}))
+	s.RecordResult(again[0], job.Result{Handle: "h2", Endpoint: "m"})
+	g.Expect(s.NextBatch(worker, start)).To(ConsistOf(later[0], later[1]))
+	g.Expect(s.Waiting("s")).To(BeZero())
+}
+
+// TestJobWithoutPiecesIsAdmitted guards against refusing a request, without a reason and
+// a time to come back, whose stages have no pieces.
+func TestJobWithoutPiecesIsAdmitted(t *testing.T) {
+	d := newScheduler(nil).CheckAdmission(newJob(0, 0, time.Second), start)
+	NewWithT(t).Expect(d.Admit).To(BeTrue(), d.Reason.String())
+}
