--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -74,6 +74,7 @@
 	history   *history.History // changes that were applied, for other instances
 	guard     *restore.Guard   // what answers of a restored store prove
 	restores  tally.Counter    // returns of the store from a copy
+	failures  tally.Counter    // failed calls to the store
 	lost      tally.Counter    // times that the store was found to lack the newest version of the catalog
 
 	lastWatch        time.Duration     // start of the last watch, by the clock of freshness
@@ -86,6 +87,7 @@
 	restoredAt       time.Duration   // when this instance itself saw the store come back from a copy; zero if it did not
 	unreachable      bool            // whether the last call to the store failed
 	unreachableSince time.Time
+	failedCalls      int // since unreachableSince
 }
 
 // New returns a Watcher that calls publish with each newer catalog and keeps r and
@@ -94,7 +96,7 @@
 func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger, scope tally.Scope) *Watcher {
 	w := &Watcher{
 		source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New(), guard: restore.New(),
-		verdict: restore.Proven, restores: scope.Counter("store_restores"), lost: scope.Counter("catalog_versions_lost"),
+		verdict: restore.Proven, restores: scope.Counter("store_restores"), failures: scope.Counter("store_call_failures"), lost: scope.Counter("catalog_versions_lost"),
 	}
 	w.status.Store(new(Status))
 	return w
@@ -319,14 +321,19 @@
 	w.publish(c)
 }
 
-// setUnreachable records that a call to the store failed.
+// setUnreachable records that a call to the store failed. Of several failures in
+// succession it logs the first, second, fourth and so on.
 func (w *Watcher) setUnreachable(err error) {
+	w.failures.Inc(1)
+	age, _ := w.freshness.Age()
 	if w.unreachable {
+		if w.failedCalls++; w.failedCalls&(w.failedCalls-1) == 0 {
+			w.log.Error(err, "store still out of reach", "proof", age.String(), "failures", w.failedCalls, "since", time.Since(w.unreachableSince).String())
+		}
 		return
 	}
-	w.unreachable, w.unreachableSince = true, time.Now()
+	w.unreachable, w.unreachableSince, w.failedCalls = true, time.Now(), 1
 	w.registry.SetUnreachable()
-	age, _ := w.freshness.Age()
 	w.log.Error(err, "store out of reach", "proof", age.String())
 }
 
