End calls to the store by lack of progress, not by their whole time

A watch was given up 0.9 s after its wait although bytes arrived (1.0 MB in 0.91 s by the log), and begun again from the first byte, for ever, which also saturated the link.

--- a/internal/edge/watcher/source.go
+++ b/internal/edge/watcher/source.go
@@ -30,7 +30,8 @@
 	// position from which to continue, which is of the same era. If there are none
 	// within wait, it returns no changes. It returns ErrCompacted if the store no
 	// longer holds all changes after the position, and ErrNewEra if the position
-	// is of an earlier era; the caller must then call List.
+	// is of an earlier era; the caller must then call List. It gives up early on a
+	// store that does not answer, but not on a large answer that progresses.
 	Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error)
 	// NewestEra returns the newest era that any answer of the store has shown,
 	// also one that refused a call. Answers of an earlier era are errors.
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -35,13 +35,13 @@
 	// watchWait is how long a watch waits for a change. Each answer confirms that
 	// the configuration is current, and several answers fit in the time within
 	// which a revoked API key must stop working.
-	watchWait   = 1200 * time.Millisecond
-	watchMargin = 900 * time.Millisecond // added to the wait of a watch to get its timeout; allows for a slow store
-	probeWait   = time.Millisecond       // wait of the first watch after a failure, which thus confirms the state at once
-	// listTimeout is the limit for all pages of a list. It allows for many instances that
-	// list thousands of endpoints at the same moment, over the link of one store; the
-	// Source limits the time of each page.
-	listTimeout   = 15 * time.Second
+	watchWait = 1200 * time.Millisecond
+	probeWait = time.Millisecond // wait of the first watch after a failure, which thus confirms the state at once
+	// callTimeout is the limit for all pages of a list, and for a watch. It allows for many
+	// instances that list thousands of endpoints at the same moment, over the link of one
+	// store, and for a large catalog over a slow link; the Source gives up earlier on an
+	// answer that does not progress.
+	callTimeout   = 15 * time.Second
 	watchInterval = 250 * time.Millisecond // minimum time between two watches, which combines changes in quick succession
 	// reportedWatchInterval is the minimum time between two watches if another
 	// instance reports that there are changes. Many instances are in this state at
@@ -198,7 +198,7 @@
 
 // list replaces the whole state by a list of the store.
 func (w *Watcher) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	fleet := w.peer.Fleet()
 	w.reportedEra = fleet.Era
@@ -247,7 +247,7 @@
 	}
 	wait = w.untilProof(wait)
 	pause.For(ctx, w.lastWatch+interval-w.freshness.Now())
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	confirmed := w.freshness.Now()
 	w.lastWatch = confirmed
