End reads of the configuration service by lack of progress too

TestLargeValueOverSlowLink failed before (512 kB at 128 kB a second). A value that comes a byte at a time is given up after a second instead of three.

--- a/internal/platform/configclient/client.go
+++ b/internal/platform/configclient/client.go
@@ -13,13 +13,18 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/stall"
 )
 
 // Limits of calls to the configuration service.
 const (
-	MaxValueBytes = 1 << 20 // largest value of a key, in bytes
-	readTimeout   = 3 * time.Second
-	watchMargin   = 3 * time.Second // time allowed for a watch beyond the requested wait
+	MaxValueBytes = 1 << 20          // largest value of a key, in bytes
+	readTimeout   = 3 * time.Second  // until the answer to a read begins
+	watchMargin   = 3 * time.Second  // until the answer to a watch begins, beyond the requested wait
+	stallWindow   = time.Second      // in which an answer that has begun must bring minProgress, unless it ends
+	minProgress   = 16 << 10         // bytes
+	callTimeout   = 30 * time.Second // of a whole call, beyond the wait of a watch
 )
 
 // Value is the value of a key at one version of the key.
@@ -57,28 +62,32 @@
 // Calls returns the number of calls made so far. A watch counts as one call.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
-// Read returns the current value of a key. It fails after 3 s.
+// Read returns the current value of a key. It fails if the answer has not begun after
+// 3 s, or does not progress.
 func (c *Client) Read(ctx context.Context, key string) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	v, _, err := c.get(ctx, key, nil)
+	v, _, err := c.get(ctx, key, nil, readTimeout)
 	return v, err
 }
 
 // Watch waits for a version of the key other than the given one. It fails if the
-// service has not answered 3 s after the wait has ended.
+// answer has not begun 3 s after the wait has ended, or does not progress.
 func (c *Client) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (Value, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	query := url.Values{
 		"after": {strconv.FormatUint(version, 10)},
 		"wait":  {wait.String()},
 	}
-	return c.get(ctx, key, query)
+	return c.get(ctx, key, query, wait+watchMargin)
 }
 
-func (c *Client) get(ctx context.Context, key string, query url.Values) (Value, bool, error) {
+// get calls the service, whose answer must begin within the given time.
+func (c *Client) get(ctx context.Context, key string, query url.Values, begin time.Duration) (Value, bool, error) {
 	c.calls.Add(1)
+	ctx, guard, done := stall.New(ctx, begin, stallWindow, minProgress)
+	defer done()
 	u := c.base + "/v1/keys/" + key
 	if query != nil {
 		u += "?" + query.Encode()
@@ -94,7 +103,7 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return decode(key, resp)
+		return decode(key, resp.Header, guard.Reader(resp.Body))
 	case http.StatusNotModified:
 		return Value{}, false, nil
 	default:
@@ -102,12 +111,12 @@
 	}
 }
 
-func decode(key string, resp *http.Response) (Value, bool, error) {
-	version, err := strconv.ParseUint(resp.Header.Get("Version"), 10, 64)
+func decode(key string, h http.Header, body io.Reader) (Value, bool, error) {
+	version, err := strconv.ParseUint(h.Get("Version"), 10, 64)
 	if err != nil {
 		return Value{}, false, fmt.Errorf("reading key %s: version header: %w", key, err)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	data, err := io.ReadAll(io.LimitReader(body, MaxValueBytes+1))
 	if err != nil {
 		return Value{}, false, fmt.Errorf("reading key %s: %w", key, err)
 	}
