Hold back requests whose prompt has a part that crashes engines

Cause: no instance relates crashes to what the lost requests have in common; each handles a loss on its own, and the next request with the part, at any instance, is sent like any other.

Now each instance records the requests that engines lose before their first event, and tells the coordinator, which judges (package quarantine): a part that is common to the requests lost by several engines, and with which no answer has begun since shortly before, is held back. Verdicts travel with the polls, so that they reach all instances, one that starts too, and outlast the coordinator; instances tell their losses to a new one. Orders with such a prompt are rejected at once, those that wait or whose stages run too, without a time to come back (code 1109); repeats stop. The coordinator alone sends a trial 5 s, 30 s, 5 min and then each hour after the verdict, and none while it has no contact with the others; an answer that begins ends the verdict.

Each case of the decision is a row of TestVerdicts.

--- /dev/null
+++ b/internal/admission/quarantine/group.go
@@ -0,0 +1,141 @@
+package quarantine
+
+// This file defines Group, and shares the verdicts with other instances.
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	maxGroups = 32 // kept; further ones are not taken from other instances
+	maxTrials = 64 // of a group that another instance tells
+)
+
+// Group is a verdict: parts of prompts that are held back if they come together, or that
+// were. Instances agree on the newest term of each group.
+type Group struct {
+	Parts  []string // sorted
+	Term   uint32   // rises with each change; odd while the parts are held back
+	Trials []string // ids of the trials in this term
+}
+
+// Held reports whether the parts are held back.
+func (g Group) Held() bool { return g.Term%2 == 1 }
+
+// group is a Group with what this instance knows of it.
+type group struct {
+	Group
+	changed time.Time // when this instance learned of the term, or of the last trial
+	asked   time.Time // when a request with the parts last came
+}
+
+func (g *group) held() bool { return g.Held() }
+
+// within reports whether a prompt with the given parts has all parts of the group.
+func (g *group) within(parts []string) bool {
+	return !slices.ContainsFunc(g.Parts, func(p string) bool { return !slices.Contains(parts, p) })
+}
+
+func (g *group) trialDue(now time.Time) bool {
+	return now.Sub(g.changed) >= trialDelays[min(len(g.Trials), len(trialDelays)-1)]
+}
+
+// clone returns the group without references to shared memory.
+func (g *group) clone() Group {
+	return Group{Parts: slices.Clone(g.Parts), Term: g.Term, Trials: slices.Clone(g.Trials)}
+}
+
+func keyOf(parts []string) string { return strings.Join(parts, ",") }
+
+// hold holds back parts, which are sorted. The caller holds the lock.
+func (q *Quarantine) hold(parts []string, now time.Time) Group {
+	g := q.groups[keyOf(parts)]
+	if g == nil {
+		g = &group{Group: Group{Parts: parts}}
+		q.groups[keyOf(parts)] = g
+	}
+	if !g.held() {
+		g.Term++
+		g.Trials = nil
+	}
+	g.changed, g.asked = now, now
+	return g.clone()
+}
+
+// dropUnused drops the groups that no request has had for a long time. The caller holds the lock.
+func (q *Quarantine) dropUnused(now time.Time) {
+	for key, g := range q.groups {
+		if now.Sub(g.changed) > retention && now.Sub(g.asked) > retention {
+			delete(q.groups, key)
+		}
+	}
+}
+
+// Groups returns all groups, held and released ones, to tell them to other instances.
+func (q *Quarantine) Groups() []Group {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := make([]Group, 0, len(q.groups))
+	for _, g := range q.groups {
+		list = append(list, g.clone())
+	}
+	return list
+}
+
+// Merge takes over the groups that another instance knows, as far as their terms or trials
+// are newer, and returns those whose term was.
+func (q *Quarantine) Merge(list []Group, now time.Time) []Group {
+	if len(list) == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dropUnused(now)
+	var newer []Group
+	for _, in := range list {
+		if !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials {
+			continue
+		}
+		key := keyOf(in.Parts)
+		g := q.groups[key]
+		if g == nil && len(q.groups) >= maxGroups {
+			continue
+		}
+		if g == nil {
+			g = &group{Group: Group{Parts: in.Parts}}
+			q.groups[key] = g
+		}
+		switch {
+		case in.Term > g.Term:
+			g.Term, g.Trials = in.Term, in.Trials
+			g.changed, g.asked = now, now
+			if !g.held() {
+				q.clear(g.Parts, now)
+			}
+			newer = append(newer, g.clone())
+		case in.Term == g.Term:
+			g.addTrials(in.Trials, now)
+		}
+	}
+	return newer
+}
+
+// clear records that an answer to a request with the parts has begun. The caller holds
+// the lock.
+func (q *Quarantine) clear(parts []string, now time.Time) {
+	for _, p := range parts {
+		q.begun.Add(p, now)
+	}
+}
+
+// addTrials adds the trials that this instance does not know.
+func (g *group) addTrials(ids []string, now time.Time) {
+	for _, id := range ids {
+		if len(g.Trials) < maxTrials && !slices.Contains(g.Trials, id) {
+			g.Trials = append(g.Trials, id)
+			g.changed = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/quarantine/judge.go
@@ -0,0 +1,142 @@
+package quarantine
+
+// This file finds the parts that crash engines.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	minCrashes = 3 // engines that lost requests with a part before it can be held back
+	minPrompts = 2 // different prompts among these requests
+	// certainCrashes is the number at which a part is held back also if an answer with it
+	// has begun before, if repeats of one prompt caused all of them, or if other parts are as
+	// likely to be the cause.
+	certainCrashes = 5
+	// learningTime is how long a coordinator learns which parts are sound before fewer
+	// crashes than certainCrashes condemn one.
+	learningTime = 10 * time.Second
+	// SettleTime is the age from which losses count: those of the same crash, seen by other
+	// instances, have arrived by then.
+	SettleTime = 150 * time.Millisecond
+)
+
+// Judge holds back the parts that the evidence condemns, and returns the groups that are
+// new. Its caller has been told of begun answers since the time knownSince.
+func (q *Quarantine) Judge(knownSince, now time.Time) []Group {
+	if now.Sub(knownSince) < begunWindow {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.prune(now)
+	q.dropUnused(now)
+	evidence := q.unexplained(now)
+	learning := now.Sub(knownSince) < learningTime
+	var verdicts []Group
+	for {
+		groups, crashed := q.strongest(evidence, learning)
+		if len(groups) == 0 {
+			return verdicts
+		}
+		for _, parts := range groups {
+			verdicts = append(verdicts, q.hold(parts, now))
+		}
+		evidence = slices.DeleteFunc(evidence, func(l Loss) bool { return crashed[l.Engine] })
+	}
+}
+
+// unexplained returns the losses that count, with the parts that have not been cleared, of
+// the engines whose crash no held group explains. The caller holds the lock.
+func (q *Quarantine) unexplained(now time.Time) []Loss {
+	explained := make(map[string]bool)
+	for _, l := range q.losses {
+		for _, g := range q.groups {
+			explained[l.Engine] = explained[l.Engine] || g.held() && g.within(l.Parts)
+		}
+	}
+	var list []Loss
+	for _, l := range q.losses {
+		if !explained[l.Engine] && now.Sub(l.At) >= SettleTime {
+			l.Parts = q.suspects(l)
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// record is the evidence against one part.
+type record struct {
+	part    string
+	sound   bool            // whether an answer with it has begun before, or may have
+	engines map[string]bool // that lost requests with it
+	prompts map[uint64]bool // of these requests
+}
+
+// strength orders records: by the different prompts, then by the crashes.
+func (r *record) strength() int { return len(r.prompts)*maxLosses + len(r.engines) }
+
+func (r *record) condemns() bool {
+	return len(r.engines) >= certainCrashes || len(r.engines) >= minCrashes && len(r.prompts) >= minPrompts && !r.sound
+}
+
+// strongest returns the group of parts that the losses speak against most, and the engines
+// that it explains. Parts that the same requests have form one group, since the losses do
+// not tell them apart. If other parts are as suspect, it waits for further losses, and
+// returns all of them once there are certainCrashes. The caller holds the lock.
+func (q *Quarantine) strongest(losses []Loss, learning bool) (groups [][]string, crashed map[string]bool) {
+	crashed = make(map[string]bool)
+	for best := mostSuspect(q.records(losses, learning)); len(best) > 0; {
+		first, others := best[0], []*record(nil)
+		var parts []string
+		for _, r := range best {
+			if maps.Equal(r.prompts, first.prompts) {
+				parts = append(parts, r.part)
+				maps.Copy(crashed, r.engines)
+			} else {
+				others = append(others, r)
+			}
+		}
+		if len(others) > 0 && len(first.engines) < certainCrashes {
+			return nil, nil
+		}
+		groups, best = append(groups, parts), others
+	}
+	return groups, crashed
+}
+
+// records collects the evidence against each part. The caller holds the lock.
+func (q *Quarantine) records(losses []Loss, learning bool) map[string]*record {
+	records := make(map[string]*record)
+	for _, l := range losses {
+		for _, p := range l.Parts {
+			r := records[p]
+			if r == nil {
+				r = &record{part: p, sound: learning || q.begun.Contains(p), engines: make(map[string]bool), prompts: make(map[uint64]bool)}
+				records[p] = r
+			}
+			r.engines[l.Engine], r.prompts[l.Prompt] = true, true
+		}
+	}
+	return records
+}
+
+// mostSuspect returns the records of greatest strength among those that condemn their
+// parts, sorted by part.
+func mostSuspect(records map[string]*record) []*record {
+	var best []*record
+	for _, r := range records {
+		switch {
+		case !r.condemns() || len(best) > 0 && r.strength() < best[0].strength():
+		case len(best) > 0 && r.strength() == best[0].strength():
+			best = append(best, r)
+		default:
+			best = []*record{r}
+		}
+	}
+	slices.SortFunc(best, func(a, b *record) int { return cmp.Compare(a.part, b.part) })
+	return best
+}
--- /dev/null
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -0,0 +1,256 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
+	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+)
+
+// prompt returns a prompt with the given parts, separated by spaces.
+func prompt(parts string) []request.PromptPart {
+	var list []request.PromptPart
+	for _, id := range strings.Fields(parts) {
+		list = append(list, request.PromptPart{ID: id, Tokens: 100})
+	}
+	return list
+}
+
+var start = time.Unix(1000, 0) // ten seconds before any loss
+
+// settle is the time, in seconds, after which a loss counts.
+const settle = 0.15
+
+// at returns the time of a test, in seconds from its start.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// step is a loss of a request by an engine, or an answer that began if engine is empty.
+type step struct {
+	seconds float64
+	engine  string
+	parts   string
+}
+
+// held returns the groups that are held back, as a text.
+func held(q *quarantine.Quarantine) string {
+	var list []string
+	for _, g := range q.Groups() {
+		if g.Held() {
+			list = append(list, strings.Join(g.Parts, "+"))
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+// TestVerdicts guards against a part that crashes engines and is not held back, and against
+// holding back sound ones. Each case lists losses and answers that began; D and E crash.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  string
+	}{
+		{"no crash", []step{{10, "", "A B o1"}}, ""},
+		{"two crashes", []step{{10, "e1", "A D o1"}, {11, "e2", "A D o2"}}, ""},
+		{"three crashes, no two requests alike", []step{
+			{9.9, "", "A B o0"}, {10, "e1", "A D o1"}, {11, "e2", "A D o2"}, {11.5, "", "A B o9"}, {12, "e3", "A D o3"},
+		}, "D"},
+		{"sparse", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {109, "", "A o0"}, {110, "e2", "A D o2"}, {210, "e3", "A D o3"}, {210.1, "", "A o7"},
+		}, "D"},
+		{"repeats of one request", []step{{9, "", "A o0"}, {10, "e1", "A D o1"}, {10.1, "e2", "A D o1"}, {10.2, "e3", "A D o1"}, {10.3, "e4", "A D o1"}}, ""},
+		{"five crashes by repeats of one request", []step{
+			{9, "", "A o0"}, {10, "e1", "A D o1"}, {10.1, "e2", "A D o1"}, {10.2, "e3", "A D o1"}, {10.3, "e4", "A D o1"}, {10.4, "e5", "A D o1"},
+		}, "D"},
+		{"one engine that loses many", []step{{10, "e1", "A D o1"}, {10, "e1", "A D o2"}, {10, "e1", "A D o3"}, {10, "e1", "A D o4"}}, ""},
+		{"sound ones lost with it", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {10, "e1", "A B o2"}, {10.4, "e2", "A B o2"}, {10.4, "e2", "A D o3"}, {11, "e3", "A D o4"}, {11, "e3", "A B o2"}, {11, "", "A C o5"},
+		}, "D"},
+		{"a sound part as suspect as the deadly one", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {10, "e1", "A B o2"}, {11, "e2", "A D o3"}, {11, "e2", "A B o4"}, {12, "e3", "A D o5"}, {12, "e3", "A B o6"}, {12, "", "A C o9"},
+		}, ""},
+		{"one answer tells them apart", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {10, "e1", "A B o2"}, {11, "e2", "A D o3"}, {11, "e2", "A B o4"}, {12, "e3", "A D o5"}, {12, "e3", "A B o6"}, {12, "", "A C o9"},
+			{12.1, "", "A B o7"},
+		}, "D"},
+		{"always together with another part", []step{{9.9, "", "A o0"}, {10, "e1", "A X D o1"}, {11, "e2", "A X D o2"}, {12, "e3", "X D A o3"}, {12, "", "A o5"}}, "D+X"},
+		{"two parts at once", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {10.1, "e2", "A E o2"}, {11, "e3", "A D o3"}, {11.1, "e4", "A E o4"}, {11.1, "", "A o0"}, {12, "e5", "A D o5"}, {12.1, "e6", "A E o6"}, {12.2, "", "A o0"},
+		}, "D E"},
+		{"common to nearly all", []step{{10, "e1", "D B o1"}, {10.2, "e2", "D C o2"}, {10.3, "e3", "D B o3"}}, "D"},
+		{"crashes that nothing caused, of busy engines", []step{
+			{9.9, "", "A B o0"}, {10, "e1", "A B o1"}, {10, "e2", "A C o2"}, {10, "e3", "A B o3"}, {10, "e1", "A C o4"}, {10, "e2", "A X o5"}, {10, "e3", "A Y o6"},
+		}, ""},
+		{"crashes of another cause between", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1"}, {10.1, "e7", "A F o7"}, {10.1, "e8", "A G o8"}, {11, "e2", "A D o2"}, {11.1, "e9", "A F o9"}, {12, "e3", "A D o3"}, {12, "", "A o5"},
+		}, "D"},
+		{"an answer with the part began between", []step{{10, "e1", "A D o1"}, {11, "e2", "A D o2"}, {11.5, "", "A D o8"}, {12, "e3", "A D o3"}}, ""},
+		{"a sound part that becomes deadly", []step{
+			{9, "", "A D o0"}, {10, "e1", "A D o1"}, {10.6, "e2", "A D o2"}, {11, "e3", "A D o3"}, {11.2, "e4", "A D o4"}, {11.2, "", "A o5"},
+			{11.4, "e5", "A D o1"}, {11.6, "e6", "A D o6"}, {11.6, "", "A o5"},
+		}, "D"},
+		{"a sound part in few crashes", []step{{9, "", "A B o0"}, {15, "e1", "A B o1"}, {16, "e2", "A B o2"}, {17, "e3", "A B o3"}, {17, "", "A o5"}}, ""},
+		{"the last part", []step{{9.9, "", "A o"}, {10, "e1", "A o1"}, {11, "e2", "A o1"}, {12, "e3", "A o1"}, {12.1, "", "A o9"}}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := quarantine.New()
+			for _, s := range c.steps {
+				q.Judge(start, at(s.seconds))
+				if s.engine == "" {
+					q.RecordBegun(prompt(s.parts), at(s.seconds))
+				} else {
+					q.RecordLoss(quarantine.NewLoss(s.engine, prompt(s.parts), at(s.seconds)))
+				}
+			}
+			q.Judge(start, at(c.steps[len(c.steps)-1].seconds+settle))
+			got := strings.Split(held(q), " ")
+			NewWithT(t).Expect(got).To(ConsistOf(strings.Split(c.want, " ")))
+		})
+	}
+}
+
+// condemned returns a quarantine that holds back D, from the time 12 s on.
+func condemned(g *WithT) *quarantine.Quarantine {
+	q := quarantine.New()
+	q.RecordBegun(prompt("A o0"), at(9.9))
+	for i := range 3 {
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), at(10+float64(i))))
+		q.RecordBegun(prompt("A o9"), at(10+float64(i)))
+	}
+	g.Expect(q.Judge(start, at(12+settle))).To(HaveLen(1))
+	g.Expect(held(q)).To(Equal("D"))
+	return q
+}
+
+// TestTrials guards against more than three sends of a part that stays deadly within
+// minutes, and against a part that has become sound but is held back for ever.
+func TestTrials(t *testing.T) {
+	g := NewWithT(t)
+	q := condemned(g)
+	trials := 0
+	for s := 12.2; s < 300; s += 0.5 {
+		g.Expect(q.Admit(prompt("A B o1"), "sound", true, at(s))).To(Equal(quarantine.Admitted))
+		g.Expect(q.Admit(prompt("A D o1"), "x", false, at(s))).To(Equal(quarantine.Held), "an instance without contact")
+		switch d := q.Admit(prompt("A D o1"), fmt.Sprint("t", s), true, at(s)); d {
+		case quarantine.Trial:
+			trials++
+			q.RecordLoss(quarantine.NewLoss(fmt.Sprint("n", s), prompt("A D o1"), at(s)))
+			g.Expect(q.Judge(start, at(s+settle))).To(BeEmpty(), "the verdict explains the crash")
+		case quarantine.Held:
+		default:
+			t.Fatalf("got %s at %v s", d, s)
+		}
+	}
+	g.Expect(trials).To(Equal(2))
+	g.Expect(q.Admit(prompt("A D o1"), "last", true, at(400))).To(Equal(quarantine.Trial))
+	g.Expect(q.RecordBegun(prompt("A D o1"), at(400.1))).To(HaveLen(1))
+	g.Expect(q.Admit(prompt("A D o2"), "y", true, at(400.2))).To(Equal(quarantine.Admitted))
+	g.Expect(q.Judge(start, at(400.3))).To(BeEmpty(), "the former crashes are no evidence any more")
+}
+
+// TestGroupShrinks guards against holding back sound parts that came with a deadly one, and
+// against admitting the deadly one alone.
+func TestGroupShrinks(t *testing.T) {
+	g := NewWithT(t)
+	q := quarantine.New()
+	for i := range 3 {
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("X D o", i)), at(10)))
+	}
+	q.Judge(start, at(10+settle))
+	g.Expect(held(q)).To(Equal("D+X"))
+	g.Expect(q.Admit(prompt("X B o1"), "a", false, at(11))).To(Equal(quarantine.Admitted))
+	g.Expect(q.Admit(prompt("X D o1"), "t1", true, at(17))).To(Equal(quarantine.Trial))
+	q.RecordBegun(prompt("X B o1"), at(17.1))
+	g.Expect(held(q)).To(Equal("D"))
+	g.Expect(q.Holds(prompt("C D o2"))).To(BeTrue())
+	g.Expect(q.Admit(prompt("C D o2"), "t2", true, at(25))).To(Equal(quarantine.Held), "the trial of both parts counts")
+}
+
+// TestVerdictsSpread guards against a verdict, a trial or a release that is forgotten with
+// the coordinator, and against instances that never agree.
+func TestVerdictsSpread(t *testing.T) {
+	g := NewWithT(t)
+	first, second := condemned(g), quarantine.New()
+	exchange := func(s float64) {
+		second.Merge(first.Groups(), at(s))
+		first.Merge(second.Groups(), at(s))
+	}
+	exchange(13)
+	g.Expect(second.Holds(prompt("A D o7"))).To(BeTrue(), "an instance that has just started")
+	g.Expect(first.Admit(prompt("A D o7"), "t1", true, at(18))).To(Equal(quarantine.Trial))
+	exchange(18)
+	g.Expect(second.Admit(prompt("A D o7"), "t2", true, at(25))).To(Equal(quarantine.Held), "the trial of the former coordinator counts")
+	second.RecordBegun(prompt("A D o7"), at(26))
+	exchange(26)
+	g.Expect(first.Holds(prompt("A D o8"))).To(BeFalse())
+	g.Expect(first.Judge(start, at(27))).To(BeEmpty(), "the answer that began elsewhere clears the part")
+	exchange(27)
+	g.Expect(held(first) + held(second)).To(BeEmpty())
+}
+
+// TestEvidenceMovesToNewCoordinator guards against five more crashes after the loss of the
+// coordinator, and against a verdict by one that does not yet know what is sound.
+func TestEvidenceMovesToNewCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	follower, coordinator := quarantine.New(), quarantine.New()
+	for i := range 3 {
+		follower.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), at(10)))
+	}
+	for _, l := range follower.Losses(at(11)) {
+		g.Expect(coordinator.RecordLoss(l)).To(BeTrue())
+		g.Expect(coordinator.RecordLoss(l)).To(BeFalse(), "told twice")
+	}
+	g.Expect(coordinator.Judge(at(11), at(11.5))).To(BeEmpty())
+	coordinator.RecordBegun(prompt("A o5"), at(12))
+	g.Expect(coordinator.Judge(at(11), at(13))).To(BeEmpty(), "three crashes are too few while it learns")
+	g.Expect(coordinator.Judge(at(11), at(21))).To(HaveLen(1))
+	g.Expect(held(coordinator)).To(Equal("D"))
+}
+
+// TestSoundTrafficOfManyEngines guards against a verdict where crashes have no cause: 60
+// engines, of which some crash at random moments, and prompts of shared parts.
+func TestSoundTrafficOfManyEngines(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := quarantine.New()
+		condemned := 0
+		for i := range 20_000 { // 200 requests a second
+			now := at(float64(i) / 200)
+			request := prompt(fmt.Sprintf("A%d B%d o%d", rng.IntN(4), rng.IntN(300), i))
+			if rng.IntN(200) == 0 {
+				engine := fmt.Sprint("e", i)
+				for range 1 + rng.IntN(6) {
+					q.RecordLoss(quarantine.NewLoss(engine, prompt(fmt.Sprintf("A%d B%d o%d", rng.IntN(4), rng.IntN(300), rng.Int())), now))
+				}
+			} else {
+				q.RecordBegun(request, now)
+			}
+			condemned += len(q.Judge(start, now))
+		}
+		NewWithT(t).Expect(condemned).To(BeZero(), "seed %d", seed)
+	}
+}
+
+// TestInvalidVerdictsAreIgnored guards against unbounded memory through what peers tell.
+func TestInvalidVerdictsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	q := quarantine.New()
+	for i := range 1000 {
+		q.Merge([]quarantine.Group{{Parts: []string{fmt.Sprint("p", i)}, Term: 1, Trials: make([]string, i)}}, at(1))
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprintf("q%d o", i)), at(1)))
+	}
+	for _, parts := range [][]string{nil, {"b", "a"}, {strings.Repeat("x", 1000)}, strings.Split(strings.Repeat("a,", 1000), ",")} {
+		q.Merge([]quarantine.Group{{Parts: parts, Term: 1}}, at(1))
+		g.Expect(q.RecordLoss(quarantine.Loss{Engine: "e", Parts: parts, At: at(1)}) && len(parts) != 2).To(BeFalse())
+	}
+	g.Expect(len(q.Groups())).To(BeNumerically("<=", 32))
+	g.Expect(len(q.Losses(at(1)))).To(BeNumerically("<=", 256))
+}
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
 	"github.com/jacinthstile/jacinthstile/internal/base/span"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
@@ -118,10 +119,13 @@
 	prepares int // calls of Prepare
 	ended    int // calls of Prepared.Ended
 	prepare  func(p proxy.PrepareParams) (proxy.Prepared, error)
+
+	quarantine *quarantine.Quarantine
+	losses     []string // names of the engines that lost requests
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	h := &harness{g: gomega.NewWithT(t), scripts: scripts}
+	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New()}
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
@@ -138,7 +142,7 @@
 	pool, closePool := connpool.New()
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, notice.New(f, stats.Cooldown(), logr.Discard(), tally.NoopScope), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, notice.New(f, stats.Cooldown(), logr.Discard(), tally.NoopScope), logr.Discard())
 	return h
 }
 
@@ -156,6 +160,13 @@
 	}, nil
 }
 
+// RecordLoss implements proxy.Preparer.
+func (h *harness) RecordLoss(engine string, _ *request.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.losses = append(h.losses, engine)
+}
+
 func (h *harness) listen(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -18,6 +18,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
@@ -49,6 +50,9 @@
 	// finished. The error is a *fault.Fault of class "not run", or the context's
 	// error.
 	Prepare(ctx context.Context, r PrepareParams) (Prepared, error)
+	// RecordLoss records that an engine, given by the name of its process, lost a
+	// request before the first event of its answer.
+	RecordLoss(engine string, r *request.Request)
 }
 
 // PrepareParams holds the parameters of Prepare.
@@ -62,6 +66,7 @@
 type Prepared struct {
 	Inputs            []string // handles of stage results
 	PreferredEndpoint string   // name of the endpoint to run on; empty for any
+	Trial             bool     // the prompt has parts that are held back; the request is sent once
 	// Started is called at the first event of the response, when the endpoint
 	// has read the inputs and they can be released.
 	Started func()
@@ -79,17 +84,20 @@
 	pool        *connpool.Pool
 	retryBudget *retrylimit.Limiter
 	preparer    Preparer
+	quarantine  *quarantine.Quarantine
 	notices     *notice.Recorder
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
-// limits retries; notices receives what endpoints say of themselves.
+// limits retries; q knows which prompts are held back; notices receives what endpoints
+// say of themselves.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
-	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, notices *notice.Recorder, log logr.Logger,
+	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, notices *notice.Recorder, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
-		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer, notices: notices, log: log,
+		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
+		quarantine: q, notices: notices, log: log,
 	}
 }
 
@@ -178,6 +186,9 @@
 	if left < minTimeLeft {
 		return false, x.deadlineFault()
 	}
+	if x.isHeld() {
+		return false, x.heldFault()
+	}
 	lease, err := x.acquireLease(ctx)
 	if err != nil {
 		return false, x.acquireFault(err)
@@ -187,6 +198,10 @@
 		lease.Done(unsentResult())
 		return x.retryOrFail("endpoint left", false)
 	}
+	if x.isHeld() { // by now
+		lease.Done(unsentResult())
+		return false, x.heldFault()
+	}
 	x.sends++
 	return x.send(ctx, lease, endpoint)
 }
@@ -261,7 +276,7 @@
 // route's attempts. Every retry needs room in the retry budget.
 func (x *exchange) retryOrFail(reason string, ran bool) (bool, error) {
 	now := time.Now()
-	if ran && (!x.request.Route.Repeatable() || x.possibleRuns >= x.request.Route.Attempts) {
+	if ran && (x.prepared.Trial || !x.request.Route.Repeatable() || x.possibleRuns >= x.request.Route.Attempts) {
 		return false, fault.New(code.AnswerLost, "%s", reason)
 	}
 	if x.sends >= maxSends || !x.retryBudget.AllowRetry(x.request.Service, now) {
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -29,6 +29,9 @@
 	resp, err := x.pool.Send(ctx, x.endpointRequest(e, left))
 	x.logSend(lease, e, left, resp, err)
 	if err != nil {
+		if failure.KindOf(err) == failure.Lost {
+			x.recordLoss(ctx, lease)
+		}
 		lease.Done(endpointstats.Result{Kind: failure.KindOf(err)})
 		x.tried = append(x.tried, lease.Endpoint.Name)
 		return x.handleSendError(ctx, err)
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -48,6 +48,9 @@
 	if ctx.Err() != nil {
 		kind = failure.Late
 	}
+	if first == 0 {
+		x.recordLoss(ctx, lease)
+	}
 	lease.Done(endpointstats.Result{Kind: kind})
 	x.tried = append(x.tried, lease.Endpoint.Name)
 	retry, endErr := x.handleSendError(ctx, fmt.Errorf("stream of %s after %d events: %w", lease.Endpoint.Name, x.stream.events, err))
@@ -77,6 +80,7 @@
 			if first == 0 {
 				first = max(1, time.Since(start))
 				x.prepared.Started() // the endpoint reads the inputs before it sends the first event
+				x.recordBegun()
 				x.log.Info("first event", "request", x.request.ID, "after", time.Since(x.request.Received).String(),
 					"spare", time.Until(x.request.Goal).String())
 			}
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -37,6 +37,7 @@
 	NoTime           Code = 1106
 	LimitUnavailable Code = 1107
 	EndpointRefused  Code = 1108
+	PromptHeld       Code = 1109
 	TicketRequired   Code = 1201
 	TicketInvalid    Code = 1202
 	TicketExpired    Code = 1203
@@ -89,6 +90,7 @@
 	NoTime:            {"no_time", http.StatusServiceUnavailable, "the deadline is too near for the stages to finish"},
 	LimitUnavailable:  {"limit_unavailable", http.StatusServiceUnavailable, "the share of the account's limit is in doubt here"},
 	EndpointRefused:   {"endpoint_refused", http.StatusServiceUnavailable, "the endpoint refused before running, and the table trusts its refusals"},
+	PromptHeld:        {"prompt_held", http.StatusServiceUnavailable, "engines crashed under requests with a part of this prompt; the same prompt will be refused for minutes"},
 	TicketRequired:    {"ticket_required", http.StatusPreconditionRequired, "the operation is not idempotent and needs a ticket"},
 	TicketInvalid:     {"ticket_invalid", http.StatusBadRequest, "the ticket is malformed, forged or of another client account"},
 	TicketExpired:     {"ticket_expired", http.StatusGone, "the ticket has expired unused"},
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
@@ -43,31 +44,38 @@
 	Service string   // service of the engine; empty if no engine is wanted
 	Prompt  []request.PromptPart
 	Tried   []string // names of engines that failed the request
+	MayTry  bool     // whether the request may be a trial of prompt parts that are held back
 }
 
 // Prepared is the result of an order.
 type Prepared struct {
 	Handles []string // handles of the results that the request reads
 	Engine  string   // name of the chosen engine's endpoint; empty if none was found
+	Trial   bool     // the prompt has parts that are held back; the request must not be repeated
 }
 
 // Coordinator runs the stages of orders and chooses their engines. It is safe for
 // concurrent use.
 type Coordinator struct {
-	batcher   *batcher.Batcher
-	selector  *cacheaware.Selector
-	catalog   func() *catalog.Catalog
-	endpoints func() *registry.Index
-	log       logr.Logger
+	batcher    *batcher.Batcher
+	selector   *cacheaware.Selector
+	quarantine *quarantine.Quarantine
+	catalog    func() *catalog.Catalog
+	endpoints  func() *registry.Index
+	log        logr.Logger
 
 	mu      sync.Mutex
 	retries *retries.Tracker
+	orders  map[string]*openOrder // by id
 }
 
 // New returns a Coordinator. The functions currentCatalog and currentEndpoints are
 // called for each order; currentCatalog returns nil while there is no catalog.
-func New(b *batcher.Batcher, selector *cacheaware.Selector, currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, log logr.Logger) *Coordinator {
-	return &Coordinator{batcher: b, selector: selector, catalog: currentCatalog, endpoints: currentEndpoints, log: log, retries: retries.New()}
+func New(b *batcher.Batcher, selector *cacheaware.Selector, q *quarantine.Quarantine, currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, log logr.Logger) *Coordinator {
+	return &Coordinator{
+		batcher: b, selector: selector, quarantine: q, catalog: currentCatalog, endpoints: currentEndpoints, log: log, retries: retries.New(),
+		orders: make(map[string]*openOrder),
+	}
 }
 
 // Prepare runs the stages of an order and chooses its engine. The caller must call
@@ -78,14 +86,23 @@
 	for _, name := range o.Tried {
 		c.selector.RecordFailure(name, now)
 	}
+	ctx, open, err := c.open(ctx, o, now)
+	if err != nil {
+		return Prepared{}, err
+	}
+	defer c.endWaiting(open)
 	var results []job.Result
 	if o.Job != nil {
-		var err error
 		if results, err = c.runStages(ctx, o); err != nil {
-			return Prepared{}, err
+			return Prepared{}, heldOr(ctx, err)
 		}
 	}
-	return c.chooseEngine(o, results), nil
+	if !open.trial && c.quarantine.Holds(o.Prompt) {
+		return Prepared{}, heldFault()
+	}
+	prepared := c.chooseEngine(o, results)
+	prepared.Trial = open.trial
+	return prepared, nil
 }
 
 // runStages runs the stages of an order. If the request is a retry, the goal is
@@ -203,6 +220,7 @@
 	for _, id := range ids {
 		c.batcher.Release(id)
 		c.selector.RecordFirstEvent(id, now)
+		c.recordBegun(id, now)
 	}
 }
 
@@ -212,6 +230,7 @@
 	for _, id := range ids {
 		c.batcher.Release(id)
 		c.selector.RecordEnd(id)
+		c.close(id)
 	}
 }
 
@@ -226,6 +245,7 @@
 		case now := <-tick.C:
 			index := c.endpoints()
 			c.selector.Sweep(func(name string) bool { return index.ByName(name) != nil }, now)
+			c.sweepOrders(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/stage/coordinator/coordinator_test.go
+++ b/internal/stage/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
@@ -64,7 +65,7 @@
 		catalogNow := func() *catalog.Catalog { return cat }
 		endpointsNow := func() *registry.Index { return registry.NewIndex(nil) }
 		b := batcher.New(catalogNow, endpointsNow, failingExecutor{}, cooldown.New(), log)
-		c := coordinator.New(b, cacheaware.New(), catalogNow, endpointsNow, log)
+		c := coordinator.New(b, cacheaware.New(), quarantine.New(), catalogNow, endpointsNow, log)
 		refuse := func(o coordinator.Order) {
 			_, err := c.Prepare(t.Context(), o)
 			var refusal *fault.Fault
--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// InContact reports whether another instance has answered a poll in time, or none is known
+// that could: there are neither seeds nor candidates but this one.
+func (e *Election) InContact(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	alone := !slices.ContainsFunc(e.seeds, func(s string) bool { return s != e.self.Address })
+	for _, r := range e.records {
+		if !r.failed && now.Sub(r.lastAnswer) <= candidateTimeout {
+			return true
+		}
+		alone = false
+	}
+	return alone
+}
+
 // TimedOut reports whether a candidate is unknown or has not answered a poll for so
 // long that calls to it should be cancelled.
 func (e *Election) TimedOut(address string, now time.Time) bool {
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/history"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
@@ -49,12 +50,14 @@
 	status           func() watcher.Status // what this instance knows of the store
 	history          *history.History
 	notices          *notice.Recorder
+	quarantine       *quarantine.Quarantine
 	log              logr.Logger
 
 	polling sync.Map // addresses whose poll is in flight
 
 	mu           sync.Mutex
 	leader       string
+	leadsSince   time.Time                     // when this instance became the coordinator; zero if it is not
 	settled      chan struct{}                 // closed once this instance has settled
 	markSettled  func()                        // closes settled
 	coordinators map[string]*remoteCoordinator // by address; those that orders were sent to
@@ -71,7 +74,8 @@
 	Status           func() watcher.Status // what this instance knows of the store
 	History          *history.History      // latest changes of the store, for peers that know an older position
 	Notices          *notice.Recorder      // endpoints that said that they leave
-	PeerStatus       *peerstatus.Latest    // receives what peers know, and the confirmations and changes that the leader reports
+	Quarantine       *quarantine.Quarantine
+	PeerStatus       *peerstatus.Latest // receives what peers know, and the confirmations and changes that the leader reports
 }
 
 // New returns a forwarder of the instance that peers reach at address self. It
@@ -80,7 +84,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
 	f.registerHandlers()
@@ -130,13 +134,14 @@
 // prepareLocally has this instance carry out the order itself.
 func (f *Forwarder) prepareLocally(ctx context.Context, r proxy.PrepareParams) (proxy.Prepared, error) {
 	o := newOrder(r, orderID(r, maxCoordinators))
+	o.MayTry = f.mayTry()
 	ready, err := f.local.Prepare(ctx, o)
 	if err != nil {
 		f.local.Ended([]string{o.ID})
 		return proxy.Prepared{}, err
 	}
 	return proxy.Prepared{
-		Inputs: ready.Handles, PreferredEndpoint: ready.Engine,
+		Inputs: ready.Handles, PreferredEndpoint: ready.Engine, Trial: ready.Trial,
 		Started: func() { f.local.Started([]string{o.ID}) },
 		Ended:   func() { f.local.Ended([]string{o.ID}) },
 	}, nil
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/boottime"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/change"
@@ -92,6 +93,7 @@
 	ineligible atomic.Bool
 	silent     atomic.Bool // does not answer polls, for as long as it is set
 	stop       func()
+	quarantine *quarantine.Quarantine
 }
 
 // at returns a position of the store in its first era.
@@ -154,10 +156,11 @@
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
 	in.notices = notice.New(in.registry, cooldown.New(), logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
-	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), catalogNow, endpointsNow, logr.Discard()),
+	in.quarantine = quarantine.New()
+	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
-			History: in.history, Notices: in.notices, PeerStatus: in.peerStatus,
+			History: in.history, Notices: in.notices, Quarantine: in.quarantine, PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -49,6 +49,7 @@
 		f.election.SetState(eligible, f.degraded() || f.processorSlow(&processor))
 		f.poll(ctx, round%roundsPerFullPoll == 0 || !f.followsPeer() || settling)
 		f.updateLeader(now)
+		f.judge()
 		if !settling {
 			f.markSettled()
 			f.election.UpdateClaim(now)
@@ -104,6 +105,7 @@
 	if roll.RestoredMs > 0 {
 		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
 	}
+	f.mergeHeld(roll.Held)
 	f.notices.Learn(roll.Leaving) // before Observe, which lets a starting instance serve requests with keys
 	f.peerStatus.Observe(known)
 	if roll.Revision == 0 {
@@ -192,8 +194,12 @@
 	defer f.mu.Unlock()
 	if leader != f.leader {
 		f.log.Info("following another gathering instance", "leader", leader, "before", f.leader)
-		f.leader = leader
+		f.leader, f.leadsSince = leader, time.Time{}
+		if leader == f.self {
+			f.leadsSince = now
+		}
 		f.peerStatus.Clear()
+		go f.tellLosses(leader, now)
 	}
 	for address, c := range f.coordinators {
 		if c.inFlight.Load() > 0 && f.election.TimedOut(address, now) && !c.isAlive(now) {
@@ -225,7 +231,7 @@
 func (f *Forwarder) newRoll(now time.Time) *stagepb.Roll {
 	age, confirmed := f.freshness.Age() // before the status, which may be newer
 	status := f.status()
-	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent()}
+	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(), Held: encodeHeld(f.quarantine.Groups())}
 	if confirmed {
 		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
--- /dev/null
+++ b/internal/stage/forwarder/losses.go
@@ -0,0 +1,117 @@
+package forwarder
+
+// This file tells the coordinator which requests engines lost, has it judge which parts of
+// prompts crash engines, and shares the verdicts.
+
+import (
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
+	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
+)
+
+const maxToldLosses = 1024 // in one message
+
+// RecordLoss records that an engine lost a request before the first event of its answer,
+// and tells the coordinator.
+func (f *Forwarder) RecordLoss(engine string, req *request.Request) {
+	now := time.Now()
+	l := quarantine.NewLoss(engine, req.Prompt, now)
+	if !f.quarantine.RecordLoss(l) {
+		return
+	}
+	f.log.Info("engine lost a request before its first event", "request", req.ID, "engine", engine, "parts", l.Parts)
+	f.mu.Lock()
+	leader := f.leader
+	f.mu.Unlock()
+	switch leader {
+	case "":
+	case f.self:
+		time.AfterFunc(quarantine.SettleTime, f.judge)
+	default:
+		f.reportLosses(f.remoteCoordinator(leader), []quarantine.Loss{l})
+	}
+}
+
+// tellLosses tells all that this instance knows to a new coordinator.
+func (f *Forwarder) tellLosses(leader string, now time.Time) {
+	if leader != f.self {
+		f.reportLosses(f.remoteCoordinator(leader), f.quarantine.Losses(now))
+	}
+}
+
+// learnLosses records the losses that another instance tells.
+func (f *Forwarder) learnLosses(list []*stagepb.Loss, now time.Time) {
+	isNew := false
+	for _, l := range list[:min(len(list), maxToldLosses)] {
+		isNew = f.quarantine.RecordLoss(quarantine.Loss{
+			Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, At: now.Add(-clamp(time.Duration(l.AgeMs) * time.Millisecond)),
+		}) || isNew
+	}
+	if isNew {
+		time.AfterFunc(quarantine.SettleTime, f.judge)
+	}
+}
+
+// judge holds back the parts that the known losses condemn, if this instance is the
+// coordinator.
+func (f *Forwarder) judge() {
+	f.mu.Lock()
+	since := f.leadsSince
+	f.mu.Unlock()
+	if since.IsZero() {
+		return
+	}
+	verdicts := f.quarantine.Judge(since, time.Now())
+	for _, g := range verdicts {
+		f.log.Info("prompt parts crash engines and are held back", "parts", g.Parts, "term", g.Term)
+	}
+	if len(verdicts) > 0 {
+		f.local.RejectHeld()
+	}
+}
+
+// mergeHeld takes over the verdicts that another instance knows.
+func (f *Forwarder) mergeHeld(list []*stagepb.Held) {
+	if len(list) == 0 {
+		return
+	}
+	groups := make([]quarantine.Group, len(list))
+	for i, h := range list {
+		groups[i] = quarantine.Group{Parts: h.Parts, Term: h.Term, Trials: h.Trials}
+	}
+	newer := f.quarantine.Merge(groups, time.Now())
+	for _, g := range newer {
+		f.log.Info("verdict on prompt parts changed", "parts", g.Parts, "held", g.Held(), "term", g.Term, "reason", "another instance said so")
+	}
+	if len(newer) > 0 {
+		f.local.RejectHeld()
+	}
+}
+
+// mayTry reports whether this instance may send a request whose prompt is held back, to
+// find out whether the parts have become sound: it is the coordinator, and not cut off
+// from the other instances, which might do the same.
+func (f *Forwarder) mayTry() bool {
+	f.mu.Lock()
+	leads := !f.leadsSince.IsZero()
+	f.mu.Unlock()
+	return leads && f.election.InContact(time.Now())
+}
+
+func encodeHeld(groups []quarantine.Group) []*stagepb.Held {
+	var list []*stagepb.Held
+	for _, g := range groups {
+		list = append(list, &stagepb.Held{Parts: g.Parts, Term: g.Term, Trials: g.Trials})
+	}
+	return list
+}
+
+func encodeLosses(losses []quarantine.Loss, now time.Time) []*stagepb.Loss {
+	var list []*stagepb.Loss
+	for _, l := range losses {
+		list = append(list, &stagepb.Loss{Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, AgeMs: uint32(max(0, now.Sub(l.At).Milliseconds()))})
+	}
+	return list
+}
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
@@ -43,9 +44,10 @@
 	alive    atomic.Int64 // when its process last answered a ping after a failed poll, in Unix nanoseconds; zero for never
 
 	mu       sync.Mutex
-	started  []string // ids of orders whose inputs are no longer needed, to be sent
-	ended    []string // ids of orders whose requests have left their engines, to be sent
-	flushing bool     // whether a flush is scheduled
+	started  []string          // ids of orders whose inputs are no longer needed, to be sent
+	ended    []string          // ids of orders whose requests have left their engines, to be sent
+	losses   []quarantine.Loss // to be sent
+	flushing bool              // whether a flush is scheduled
 }
 
 // remoteCoordinator returns the state kept for the instance at address. It creates a
@@ -120,7 +122,7 @@
 		return proxy.Prepared{}, refusal
 	}
 	return proxy.Prepared{
-		Inputs: out.Handles, PreferredEndpoint: out.Engine,
+		Inputs: out.Handles, PreferredEndpoint: out.Engine, Trial: out.Trial,
 		Started: func() { f.report(c, []string{id}, nil) },
 		Ended:   func() { f.report(c, nil, []string{id}) },
 	}, nil
@@ -142,6 +144,22 @@
 	}
 	c.started = append(c.started, started...)
 	c.ended = append(c.ended, ended...)
+	f.scheduleFlush(c)
+}
+
+// reportLosses queues losses for the coordinator.
+func (f *Forwarder) reportLosses(c *remoteCoordinator, losses []quarantine.Loss) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(losses) == 0 || len(c.losses)+len(losses) > maxPendingProgress {
+		return
+	}
+	c.losses = append(c.losses, losses...)
+	f.scheduleFlush(c)
+}
+
+// scheduleFlush schedules a flush if none is scheduled. The caller holds the lock of c.
+func (f *Forwarder) scheduleFlush(c *remoteCoordinator) {
 	if !c.flushing {
 		c.flushing = true
 		time.AfterFunc(progressInterval, func() { f.flushProgress(c) })
@@ -152,13 +170,13 @@
 // entries are dropped.
 func (f *Forwarder) flushProgress(c *remoteCoordinator) {
 	c.mu.Lock()
-	progress := &stagepb.News{Started: c.started, Ended: c.ended}
-	c.started, c.ended, c.flushing = nil, nil, false
+	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now())}
+	c.started, c.ended, c.losses, c.flushing = nil, nil, nil, false
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(c.ctx, progressTimeout)
 	defer cancel()
 	if _, err := f.transport.Call(ctx, c.address, method.StageNews, progress, new(stagepb.News)); err != nil {
 		f.log.V(1).Info("progress not delivered to the coordinator: it frees the results when they expire",
-			"leader", c.address, "requests", len(progress.Started)+len(progress.Ended), "reason", err.Error())
+			"leader", c.address, "requests", len(progress.Started)+len(progress.Ended), "losses", len(progress.Losses), "reason", err.Error())
 	}
 }
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -57,6 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
+		o.MayTry = f.mayTry()
 		ready, err := f.local.Prepare(ctx, o)
 		return proto.Marshal(encodeOutcome(ready, err))
 	})
@@ -67,6 +68,7 @@
 		}
 		f.local.Started(in.Started)
 		f.local.Ended(in.Ended)
+		f.learnLosses(in.Losses, time.Now())
 		return proto.Marshal(&stagepb.News{})
 	})
 }
@@ -141,5 +143,5 @@
 		refusal := fault.From(err)
 		return &stagepb.Outcome{Code: uint32(refusal.Code), Reason: refusal.Detail, AfterMs: uint32(refusal.RetryAfter.Milliseconds())}
 	}
-	return &stagepb.Outcome{Handles: r.Handles, Engine: r.Engine}
+	return &stagepb.Outcome{Handles: r.Handles, Engine: r.Engine, Trial: r.Trial}
 }
