Bound the bytes that an endpoint sends before the body of an answer

An endpoint in trouble may send bytes that are no answer, without end, until the caller closes. In a head, they were collected in memory until the request's deadline: TestEndlessHead ran for 21 s and grew without bound in three of its cases (no line end, headers, one header), which ends an instance.

Bodies were bounded before (8 MB; 256 kB an event): TestEndlessBody holds this, and passes on the former code too.

--- a/internal/edge/connpool/conn.go
+++ b/internal/edge/connpool/conn.go
@@ -4,6 +4,9 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,13 +20,36 @@
 type conn struct {
 	net.Conn
 	name      string
-	br        *bufio.Reader
+	limit     *limitedReader
+	br        *bufio.Reader // reads from limit
 	reused    bool
 	expiresAt time.Time // no request is sent on the connection from this time on
 }
 
 func newConn(raw net.Conn, name string) *conn {
-	return &conn{Conn: raw, name: name, br: bufio.NewReaderSize(raw, readBufferBytes)}
+	limit := &limitedReader{from: raw, left: math.MaxInt64}
+	return &conn{Conn: raw, name: name, limit: limit, br: bufio.NewReaderSize(limit, readBufferBytes)}
+}
+
+// errTooLong is returned for bytes beyond the limit of what is being read.
+var errTooLong = errors.New("got more bytes than an answer may have before its body")
+
+// limitedReader is an io.Reader that fails after a number of bytes.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+var _ io.Reader = (*limitedReader)(nil)
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.from.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // usable reports whether an idle connection can carry another request: its
--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -25,6 +25,8 @@
 	idleTimeoutMargin   = 700 * time.Millisecond // subtracted from the endpoint's Keep-Alive timeout, so that it does not close a connection just as it is reused
 	putsPerSweep        = 64                     // returned connections between two sweeps for expired ones
 	maxForeignResponses = 2                      // responses to other requests that are skipped on one connection
+	maxForeignBytes     = 1 << 20                // of the body of such a response
+	maxHeadBytes        = 64 << 10               // of the status line and headers of a response
 	readBufferBytes     = 4 << 10                // fits a typical event or the headers of a response
 	maxInlineBodyBytes  = 16 << 10               // larger bodies are written while the response is read, since an endpoint may respond before it has read them
 )
--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -100,9 +101,12 @@
 
 // readHead reads the status line and headers of the response to r. It skips
 // interim (1xx) responses and, on a reused connection, late or duplicate
-// responses to earlier requests.
+// responses to earlier requests. Bytes that are no response may come without end.
 func (resp *Response) readHead(r *Request) error {
+	limit := resp.conn.limit
+	defer func() { limit.left = math.MaxInt64 }() // callers limit the body
 	for range maxForeignResponses + 1 {
+		limit.left = maxHeadBytes
 		raw, err := http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method})
 		if err != nil {
 			return failure.New(failure.Lost, err, "reading the answer of %s", r.Address)
@@ -118,6 +122,7 @@
 		if !resp.Reused {
 			break
 		}
+		limit.left = maxForeignBytes
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			break
 		}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -39,6 +39,7 @@
 	maxSends          = 4                      // of one request, including sends that endpoints refuse
 	defaultRetryAfter = 300 * time.Millisecond // used when the dispatcher gives no estimate
 	maxResponseBytes  = 8 << 20                // limit of a response that is not a stream
+	maxDiscardedBytes = 64 << 10               // of a body that is read only to reuse its connection
 	tokensPerBlock    = 256                    // prompt tokens for each block in the index of prefix caches
 )
 
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -177,9 +177,9 @@
 	return body, nil
 }
 
-// discard reads a body to its end, so that the connection can be reused.
+// discard reads a short body to its end, so that the connection can be reused.
 func discard(resp *connpool.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes)); err != nil {
 		return // Close closes the connection then, and the body is not needed
 	}
 }
