Forget verdicts on prompt parts that no request has, and bound their memory

A message now says how long no request with the parts has come to any instance. Begun answers are remembered by hashes of parts, not by parts of request headers; a panic while judging ends that task only; a prompt may have 256 parts.

--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -16,9 +18,10 @@
 // Group is a verdict: parts of prompts that are held back if they come together, or that
 // were. Instances agree on the newest term of each group.
 type Group struct {
-	Parts  []string // sorted
-	Term   uint32   // rises with each change; odd while the parts are held back
-	Trials []string // ids of the trials in this term
+	Parts  []string      // sorted
+	Term   uint32        // rises with each change; odd while the parts are held back
+	Trials []string      // ids of the trials in this term
+	Idle   time.Duration // since a request with the parts last came; all instances forget the group in the end
 }
 
 // Held reports whether the parts are held back.
@@ -28,7 +31,7 @@
 type group struct {
 	Group
 	changed time.Time // when this instance learned of the term, or of the last trial
-	asked   time.Time // when a request with the parts last came
+	asked   time.Time // when a request with the parts last came to any instance, as far as known
 }
 
 func (g *group) held() bool { return g.Held() }
@@ -67,19 +70,22 @@
 // dropUnused drops the groups that no request has had for a long time. The caller holds the lock.
 func (q *Quarantine) dropUnused(now time.Time) {
 	for key, g := range q.groups {
-		if now.Sub(g.changed) > retention && now.Sub(g.asked) > retention {
+		if now.Sub(g.asked) > retention {
 			delete(q.groups, key)
 		}
 	}
 }
 
 // Groups returns all groups, held and released ones, to tell them to other instances.
-func (q *Quarantine) Groups() []Group {
+func (q *Quarantine) Groups(now time.Time) []Group {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.dropUnused(now)
 	list := make([]Group, 0, len(q.groups))
 	for _, g := range q.groups {
-		list = append(list, g.clone())
+		told := g.clone()
+		told.Idle = now.Sub(g.asked)
+		list = append(list, told)
 	}
 	return list
 }
@@ -95,7 +101,7 @@
 	q.dropUnused(now)
 	var newer []Group
 	for _, in := range list {
-		if !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials {
+		if !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials || in.Idle > retention {
 			continue
 		}
 		key := keyOf(in.Parts)
@@ -107,10 +113,12 @@
 			g = &group{Group: Group{Parts: in.Parts}}
 			q.groups[key] = g
 		}
+		if asked := now.Add(-max(0, in.Idle)); asked.After(g.asked) {
+			g.asked = asked
+		}
 		switch {
 		case in.Term > g.Term:
-			g.Term, g.Trials = in.Term, in.Trials
-			g.changed, g.asked = now, now
+			g.Term, g.Trials, g.changed = in.Term, in.Trials, now
 			if !g.held() {
 				q.clear(g.Parts, now)
 			}
@@ -126,7 +134,7 @@
 // the lock.
 func (q *Quarantine) clear(parts []string, now time.Time) {
 	for _, p := range parts {
-		q.begun.Add(p, now)
+		q.begun.Add(xxhash.Sum64String(p), now)
 	}
 }
 
--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -115,7 +117,7 @@
 		for _, p := range l.Parts {
 			r := records[p]
 			if r == nil {
-				r = &record{part: p, sound: learning || q.begun.Contains(p), engines: make(map[string]bool), prompts: make(map[uint64]bool)}
+				r = &record{part: p, sound: learning || q.begun.Contains(xxhash.Sum64String(p)), engines: make(map[string]bool), prompts: make(map[uint64]bool)}
 				records[p] = r
 			}
 			r.engines[l.Engine], r.prompts[l.Prompt] = true, true
--- a/internal/admission/quarantine/loss.go
+++ b/internal/admission/quarantine/loss.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,8 +14,8 @@
 
 const (
 	maxLosses    = 256 // kept; the oldest are dropped first
-	maxLossParts = 64  // of a prompt that another instance tells
-	maxPartBytes = 128 // of the id of such a part
+	maxLossParts = 256 // of a prompt
+	maxPartBytes = 256 // of the id of a part
 	// begunWindow is the time before a loss in which an answer to a request with a part
 	// clears the part. A part in frequent use is thus cleared at once.
 	begunWindow = 1500 * time.Millisecond
@@ -36,10 +37,14 @@
 			panic("quarantine: hashing a prompt part: " + err.Error())
 		}
 	}
-	return Loss{Engine: engine, Prompt: h.Sum64(), Parts: sharedParts(prompt), At: at}
+	parts := sharedParts(prompt)
+	for i, p := range parts {
+		parts[i] = strings.Clone(p) // not a part of a longer header
+	}
+	return Loss{Engine: engine, Prompt: h.Sum64(), Parts: parts, At: at}
 }
 
-// Valid reports whether a loss that another instance told is within the limits.
+// Valid reports whether a loss is within the limits of what is kept.
 func (l Loss) Valid() bool {
 	return l.Engine != "" && validParts(l.Parts)
 }
@@ -84,7 +89,7 @@
 func (q *Quarantine) suspects(l Loss) []string {
 	var list []string
 	for _, p := range l.Parts {
-		if at, ok := q.begun.Peek(p); !ok || l.At.Sub(at) > begunWindow {
+		if at, ok := q.begun.Peek(xxhash.Sum64String(p)); !ok || l.At.Sub(at) > begunWindow {
 			list = append(list, p)
 		}
 	}
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 
 const (
 	maxParts = 4096 // parts whose last begun answer is remembered
-	// retention is how long losses are remembered, and groups of parts that no request has.
+	// retention is how long losses are remembered, and groups whose parts no request has.
 	retention = 10 * time.Minute
 )
 
@@ -61,14 +61,14 @@
 // concurrent use.
 type Quarantine struct {
 	mu     sync.Mutex
-	begun  *simplelru.LRU[string, time.Time] // when an answer to a request with the part last began, by part
+	begun  *simplelru.LRU[uint64, time.Time] // when an answer to a request with the part last began, by hash of the part
 	losses []Loss                            // oldest first
 	groups map[string]*group                 // by key; held and released ones
 }
 
 // New returns a quarantine without losses and verdicts.
 func New() *Quarantine {
-	begun, err := simplelru.NewLRU[string, time.Time](maxParts, nil)
+	begun, err := simplelru.NewLRU[uint64, time.Time](maxParts, nil)
 	if err != nil {
 		panic("quarantine: creating an LRU cache: " + err.Error())
 	}
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -42,7 +42,7 @@
 // held returns the groups that are held back, as a text.
 func held(q *quarantine.Quarantine) string {
 	var list []string
-	for _, g := range q.Groups() {
+	for _, g := range q.Groups(start) {
 		if g.Held() {
 			list = append(list, strings.Join(g.Parts, "+"))
 		}
@@ -180,8 +180,8 @@
 	g := NewWithT(t)
 	first, second := condemned(g), quarantine.New()
 	exchange := func(s float64) {
-		second.Merge(first.Groups(), at(s))
-		first.Merge(second.Groups(), at(s))
+		second.Merge(first.Groups(at(s)), at(s))
+		first.Merge(second.Groups(at(s)), at(s))
 	}
 	exchange(13)
 	g.Expect(second.Holds(prompt("A D o7"))).To(BeTrue(), "an instance that has just started")
@@ -239,6 +239,27 @@
 	}
 }
 
+// TestUnusedVerdictsAreForgotten guards against verdicts that instances tell each other for
+// ever, and against forgetting one whose part is still asked for.
+func TestUnusedVerdictsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	first, second := condemned(g), quarantine.New()
+	exchange := func(from, to float64, asked bool) {
+		for s := from; s < to; s++ {
+			if asked {
+				first.Admit(prompt("A D o1"), "x", false, at(s))
+			}
+			second.Merge(first.Groups(at(s)), at(s+0.1))
+			first.Merge(second.Groups(at(s+0.5)), at(s+0.5))
+		}
+	}
+	exchange(13, 1500, true)
+	g.Expect(second.Holds(prompt("A D o1"))).To(BeTrue())
+	exchange(1500, 2300, false)
+	g.Expect(first.Groups(at(2300))).To(BeEmpty())
+	g.Expect(second.Groups(at(2300))).To(BeEmpty())
+}
+
 // TestInvalidVerdictsAreIgnored guards against unbounded memory through what peers tell.
 func TestInvalidVerdictsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
@@ -251,6 +272,6 @@
 		q.Merge([]quarantine.Group{{Parts: parts, Term: 1}}, at(1))
 		g.Expect(q.RecordLoss(quarantine.Loss{Engine: "e", Parts: parts, At: at(1)}) && len(parts) != 2).To(BeFalse())
 	}
-	g.Expect(len(q.Groups())).To(BeNumerically("<=", 32))
+	g.Expect(len(q.Groups(at(1)))).To(BeNumerically("<=", 32))
 	g.Expect(len(q.Losses(at(1)))).To(BeNumerically("<=", 256))
 }
--- a/internal/stage/coordinator/held.go
+++ b/internal/stage/coordinator/held.go
@@ -46,11 +46,14 @@
 // as its cause once the order's prompt is held back.
 func (c *Coordinator) open(ctx context.Context, o Order, now time.Time) (context.Context, *openOrder, error) {
 	decision := c.quarantine.Admit(o.Prompt, o.ID, o.MayTry, now)
-	if decision != quarantine.Admitted {
-		c.log.Info("prompt has parts that are held back", "request", o.Request, "decision", decision.String())
-	}
-	if decision == quarantine.Held {
+	switch decision {
+	case quarantine.Admitted:
+	case quarantine.Trial:
+		c.log.Info("sending a request with prompt parts that are held back, as a trial", "request", o.Request)
+	case quarantine.Held:
 		return ctx, nil, heldFault()
+	default:
+		panic("coordinator: got decision " + decision.String())
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	open := &openOrder{prompt: o.Prompt, trial: decision == quarantine.Trial, since: now, cancel: cancel}
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -48,7 +48,9 @@
 		settling := since.IsZero() || now.Sub(since) <= minSettling || now.Sub(since) <= maxSettling && !f.followsPeer()
 		f.election.SetState(eligible, f.degraded() || f.processorSlow(&processor))
 		f.poll(ctx, round%roundsPerFullPoll == 0 || !f.followsPeer() || settling)
-		f.updateLeader(now)
+		if f.updateLeader(now) {
+			f.tellLosses(f.election.Leader(now), now)
+		}
 		f.judge()
 		if !settling {
 			f.markSettled()
@@ -187,19 +189,19 @@
 }
 
 // updateLeader records and logs a change of the leader, and cancels the calls to
-// coordinators that no longer answer polls, unless their process is alive.
-func (f *Forwarder) updateLeader(now time.Time) {
+// coordinators that no longer answer polls, unless their process is alive. It reports
+// whether the leader changed.
+func (f *Forwarder) updateLeader(now time.Time) (changed bool) {
 	leader := f.election.Leader(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if leader != f.leader {
+	if changed = leader != f.leader; changed {
 		f.log.Info("following another gathering instance", "leader", leader, "before", f.leader)
 		f.leader, f.leadsSince = leader, time.Time{}
 		if leader == f.self {
 			f.leadsSince = now
 		}
 		f.peerStatus.Clear()
-		go f.tellLosses(leader, now)
 	}
 	for address, c := range f.coordinators {
 		if c.inFlight.Load() > 0 && f.election.TimedOut(address, now) && !c.isAlive(now) {
@@ -207,6 +209,7 @@
 			delete(f.coordinators, address)
 		}
 	}
+	return changed
 }
 
 // activeCoordinators returns the addresses of the instances that work on orders of
@@ -231,7 +234,7 @@
 func (f *Forwarder) newRoll(now time.Time) *stagepb.Roll {
 	age, confirmed := f.freshness.Age() // before the status, which may be newer
 	status := f.status()
-	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(), Held: encodeHeld(f.quarantine.Groups())}
+	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(), Held: encodeHeld(f.quarantine.Groups(now))}
 	if confirmed {
 		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
+	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
@@ -28,7 +29,7 @@
 	switch leader {
 	case "":
 	case f.self:
-		time.AfterFunc(quarantine.SettleTime, f.judge)
+		f.judgeLater()
 	default:
 		f.reportLosses(f.remoteCoordinator(leader), []quarantine.Loss{l})
 	}
@@ -36,8 +37,8 @@
 
 // tellLosses tells all that this instance knows to a new coordinator.
 func (f *Forwarder) tellLosses(leader string, now time.Time) {
-	if leader != f.self {
-		f.reportLosses(f.remoteCoordinator(leader), f.quarantine.Losses(now))
+	if losses := f.quarantine.Losses(now); leader != f.self && len(losses) > 0 {
+		f.reportLosses(f.remoteCoordinator(leader), losses)
 	}
 }
 
@@ -50,10 +51,15 @@
 		}) || isNew
 	}
 	if isNew {
-		time.AfterFunc(quarantine.SettleTime, f.judge)
+		f.judgeLater()
 	}
 }
 
+// judgeLater judges once the losses that are new now count.
+func (f *Forwarder) judgeLater() {
+	time.AfterFunc(quarantine.SettleTime, func() { contain.Do(f.log, "judging lost requests", f.judge) })
+}
+
 // judge holds back the parts that the known losses condemn, if this instance is the
 // coordinator.
 func (f *Forwarder) judge() {
@@ -79,7 +85,7 @@
 	}
 	groups := make([]quarantine.Group, len(list))
 	for i, h := range list {
-		groups[i] = quarantine.Group{Parts: h.Parts, Term: h.Term, Trials: h.Trials}
+		groups[i] = quarantine.Group{Parts: h.Parts, Term: h.Term, Trials: h.Trials, Idle: time.Duration(h.IdleMs) * time.Millisecond}
 	}
 	newer := f.quarantine.Merge(groups, time.Now())
 	for _, g := range newer {
@@ -103,7 +109,7 @@
 func encodeHeld(groups []quarantine.Group) []*stagepb.Held {
 	var list []*stagepb.Held
 	for _, g := range groups {
-		list = append(list, &stagepb.Held{Parts: g.Parts, Term: g.Term, Trials: g.Trials})
+		list = append(list, &stagepb.Held{Parts: g.Parts, Term: g.Term, Trials: g.Trials, IdleMs: uint32((g.Idle + pollTimeout).Milliseconds())})
 	}
 	return list
 }
