--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -3,6 +3,7 @@
 // This file defines Group, and shares the verdicts with other instances.
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,8 +12,10 @@
 )
 
 const (
-	maxGroups = 32 // kept; further ones are not taken from other instances
-	maxTrials = 64 // of a group that another instance tells
+	maxGroups = 32 // kept; the one that requests have not had for the longest time is dropped for another
+	// maxTrials is the number of trials of a group after which it is released, since a message
+	// holds no more.
+	maxTrials = 64
 )
 
 // Group is a verdict: parts of prompts that are held back if they come together, or that
@@ -56,8 +59,7 @@
 func (q *Quarantine) hold(parts []string, now time.Time) Group {
 	g := q.groups[keyOf(parts)]
 	if g == nil {
-		g = &group{Group: Group{Parts: parts}}
-		q.groups[keyOf(parts)] = g
+		g = q.add(parts)
 	}
 	if !g.held() {
 		g.Term++
@@ -67,6 +69,18 @@
 	return g.clone()
 }
 
+// add adds a group that is not held. The caller holds the lock.
+func (q *Quarantine) add(parts []string) *group {
+	if len(q.groups) >= maxGroups {
+		all := slices.Collect(maps.Values(q.groups))
+		oldest := slices.MinFunc(all, func(a, b *group) int { return a.asked.Compare(b.asked) })
+		delete(q.groups, keyOf(oldest.Parts))
+	}
+	g := &group{Group: Group{Parts: parts}}
+	q.groups[keyOf(parts)] = g
+	return g
+}
+
 // dropUnused drops the groups that no request has had for a long time. The caller holds the lock.
 func (q *Quarantine) dropUnused(now time.Time) {
 	for key, g := range q.groups {
@@ -110,8 +124,7 @@
 			continue
 		}
 		if g == nil {
-			g = &group{Group: Group{Parts: in.Parts}}
-			q.groups[key] = g
+			g = q.add(in.Parts)
 		}
 		if asked := now.Add(-max(0, in.Idle)); asked.After(g.asked) {
 			g.asked = asked
@@ -141,7 +154,7 @@
 // addTrials adds the trials that this instance does not know.
 func (g *group) addTrials(ids []string, now time.Time) {
 	for _, id := range ids {
-		if len(g.Trials) < maxTrials && !slices.Contains(g.Trials, id) {
+		if len(g.Trials) <= maxTrials && !slices.Contains(g.Trials, id) {
 			g.Trials = append(g.Trials, id)
 			g.changed = now
 		}
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -146,6 +146,10 @@
 	for _, g := range list {
 		g.Trials = append(g.Trials, id)
 		g.changed = now
+		if len(g.Trials) > maxTrials {
+			g.Term++
+			g.Trials = nil
+		}
 	}
 	return Trial
 }
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -156,6 +156,23 @@
 	g.Expect(q.Judge(start, at(400.3))).To(BeEmpty(), "the former crashes are no evidence any more")
 }
 
+// TestTrialsEnd guards against a verdict with so many trials that it is no longer told to
+// other instances: it ends instead, and needs new evidence.
+func TestTrialsEnd(t *testing.T) {
+	g := NewWithT(t)
+	first, second := condemned(g), quarantine.New()
+	trials := 0
+	for s := 13.0; first.Holds(prompt("A D o1")); s += 300 {
+		if first.Admit(prompt("A D o1"), fmt.Sprint(s), true, at(s)) == quarantine.Trial {
+			trials++
+		}
+		second.Merge(first.Groups(at(s)), at(s))
+		g.Expect(second.Holds(prompt("A D o1"))).To(Equal(first.Holds(prompt("A D o1"))), "after %d trials", trials)
+		g.Expect(trials).To(BeNumerically("<", 100))
+	}
+	g.Expect(trials).To(Equal(65))
+}
+
 // TestGroupShrinks guards against holding back sound parts that came with a deadly one, and
 // against admitting the deadly one alone.
 func TestGroupShrinks(t *testing.T) {
