--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -33,8 +33,8 @@
 // group is a Group with what this instance knows of it.
 type group struct {
 	Group
-	changed time.Time // when this instance learned of the term, or of the last trial
-	asked   time.Time // when a request with the parts last came to any instance, as far as known
+	changed       time.Time // when this instance learned of the term, or of the last trial
+	lastRequested time.Time // when a request with the parts last came to any instance, as far as known
 }
 
 func (g *group) held() bool { return g.Held() }
@@ -65,7 +65,7 @@
 		g.Term++
 		g.Trials = nil
 	}
-	g.changed, g.asked = now, now
+	g.changed, g.lastRequested = now, now
 	return g.clone()
 }
 
@@ -73,7 +73,7 @@
 func (q *Quarantine) add(parts []string) *group {
 	if len(q.groups) >= maxGroups {
 		all := slices.Collect(maps.Values(q.groups))
-		oldest := slices.MinFunc(all, func(a, b *group) int { return a.asked.Compare(b.asked) })
+		oldest := slices.MinFunc(all, func(a, b *group) int { return a.lastRequested.Compare(b.lastRequested) })
 		delete(q.groups, keyOf(oldest.Parts))
 	}
 	g := &group{Group: Group{Parts: parts}}
@@ -84,7 +84,7 @@
 // dropUnused drops the groups that no request has had for a long time. The caller holds the lock.
 func (q *Quarantine) dropUnused(now time.Time) {
 	for key, g := range q.groups {
-		if now.Sub(g.asked) > retention {
+		if now.Sub(g.lastRequested) > retention {
 			delete(q.groups, key)
 		}
 	}
@@ -98,7 +98,7 @@
 	list := make([]Group, 0, len(q.groups))
 	for _, g := range q.groups {
 		told := g.clone()
-		told.Idle = now.Sub(g.asked)
+		told.Idle = now.Sub(g.lastRequested)
 		list = append(list, told)
 	}
 	return list
@@ -126,14 +126,14 @@
 		if g == nil {
 			g = q.add(in.Parts)
 		}
-		if asked := now.Add(-max(0, in.Idle)); asked.After(g.asked) {
-			g.asked = asked
+		if last := now.Add(-max(0, in.Idle)); last.After(g.lastRequested) {
+			g.lastRequested = last
 		}
 		switch {
 		case in.Term > g.Term:
 			g.Term, g.Trials, g.changed = in.Term, in.Trials, now
 			if !g.held() {
-				q.clear(g.Parts, now)
+				q.markSound(g.Parts, now)
 			}
 			newer = append(newer, g.clone())
 		case in.Term == g.Term:
@@ -143,9 +143,9 @@
 	return newer
 }
 
-// clear records that an answer to a request with the parts has begun. The caller holds
+// markSound records that an answer to a request with the parts has begun. The caller holds
 // the lock.
-func (q *Quarantine) clear(parts []string, now time.Time) {
+func (q *Quarantine) markSound(parts []string, now time.Time) {
 	for _, p := range parts {
 		q.begun.Add(xxhash.Sum64String(p), now)
 	}
--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -19,14 +19,14 @@
 	// likely to be the cause.
 	certainCrashes = 5
 	// learningTime is how long a coordinator learns which parts are sound before fewer
-	// crashes than certainCrashes condemn one.
+	// crashes than certainCrashes are enough to hold one back.
 	learningTime = 10 * time.Second
 	// SettleTime is the age from which losses count: those of the same crash, seen by other
 	// instances, have arrived by then.
 	SettleTime = 150 * time.Millisecond
 )
 
-// Judge holds back the parts that the evidence condemns, and returns the groups that are
+// Judge holds back the parts against which the evidence is sufficient, and returns the groups that are
 // new. Its caller has been told of begun answers since the time knownSince.
 func (q *Quarantine) Judge(knownSince, now time.Time) []Group {
 	if now.Sub(knownSince) < begunWindow {
@@ -81,7 +81,7 @@
 // strength orders records: by the different prompts, then by the crashes.
 func (r *record) strength() int { return len(r.prompts)*maxLosses + len(r.engines) }
 
-func (r *record) condemns() bool {
+func (r *record) isSufficient() bool {
 	return len(r.engines) >= certainCrashes || len(r.engines) >= minCrashes && len(r.prompts) >= minPrompts && !r.sound
 }
 
@@ -126,13 +126,13 @@
 	return records
 }
 
-// mostSuspect returns the records of greatest strength among those that condemn their
+// mostSuspect returns the strongest of the records that are sufficient to hold back their
 // parts, sorted by part.
 func mostSuspect(records map[string]*record) []*record {
 	var best []*record
 	for _, r := range records {
 		switch {
-		case !r.condemns() || len(best) > 0 && r.strength() < best[0].strength():
+		case !r.isSufficient() || len(best) > 0 && r.strength() < best[0].strength():
 		case len(best) > 0 && r.strength() == best[0].strength():
 			best = append(best, r)
 		default:
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -82,7 +82,7 @@
 	parts := sharedParts(prompt)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.clear(parts, now)
+	q.markSound(parts, now)
 	var changed []Group
 	for _, g := range slices.Collect(maps.Values(q.groups)) {
 		left := slices.DeleteFunc(slices.Clone(g.Parts), func(p string) bool { return slices.Contains(parts, p) })
@@ -137,7 +137,7 @@
 	}
 	due := mayTry
 	for _, g := range list {
-		g.asked = now
+		g.lastRequested = now
 		due = due && g.trialDue(now)
 	}
 	if !due {
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// condemned returns a quarantine that holds back D, from the time 12 s on.
-func condemned(g *WithT) *quarantine.Quarantine {
+// holdingD returns a quarantine that holds back D, from the time 12 s on.
+func holdingD(g *WithT) *quarantine.Quarantine {
 	q := quarantine.New()
 	q.RecordBegun(prompt("A o0"), at(9.9))
 	for i := range 3 {
@@ -134,7 +134,7 @@
 // minutes, and against a part that has become sound but is held back for ever.
 func TestTrials(t *testing.T) {
 	g := NewWithT(t)
-	q := condemned(g)
+	q := holdingD(g)
 	trials := 0
 	for s := 12.2; s < 300; s += 0.5 {
 		g.Expect(q.Admit(prompt("A B o1"), "sound", true, at(s))).To(Equal(quarantine.Admitted))
@@ -160,7 +160,7 @@
 // other instances: it ends instead, and needs new evidence.
 func TestTrialsEnd(t *testing.T) {
 	g := NewWithT(t)
-	first, second := condemned(g), quarantine.New()
+	first, second := holdingD(g), quarantine.New()
 	trials := 0
 	for s := 13.0; first.Holds(prompt("A D o1")); s += 300 {
 		if first.Admit(prompt("A D o1"), fmt.Sprint(s), true, at(s)) == quarantine.Trial {
@@ -195,7 +195,7 @@
 // the coordinator, and against instances that never agree.
 func TestVerdictsSpread(t *testing.T) {
 	g := NewWithT(t)
-	first, second := condemned(g), quarantine.New()
+	first, second := holdingD(g), quarantine.New()
 	exchange := func(s float64) {
 		second.Merge(first.Groups(at(s)), at(s))
 		first.Merge(second.Groups(at(s)), at(s))
@@ -238,7 +238,7 @@
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		q := quarantine.New()
-		condemned := 0
+		verdicts := 0
 		for i := range 20_000 { // 200 requests a second
 			now := at(float64(i) / 200)
 			request := prompt(fmt.Sprintf("A%d B%d o%d", rng.IntN(4), rng.IntN(300), i))
@@ -250,20 +250,20 @@
 			} else {
 				q.RecordBegun(request, now)
 			}
-			condemned += len(q.Judge(start, now))
+			verdicts += len(q.Judge(start, now))
 		}
-		NewWithT(t).Expect(condemned).To(BeZero(), "seed %d", seed)
+		NewWithT(t).Expect(verdicts).To(BeZero(), "seed %d", seed)
 	}
 }
 
 // TestUnusedVerdictsAreForgotten guards against verdicts that instances tell each other for
-// ever, and against forgetting one whose part is still asked for.
+// ever, and against forgetting one whose part is still requested.
 func TestUnusedVerdictsAreForgotten(t *testing.T) {
 	g := NewWithT(t)
-	first, second := condemned(g), quarantine.New()
-	exchange := func(from, to float64, asked bool) {
+	first, second := holdingD(g), quarantine.New()
+	exchange := func(from, to float64, requested bool) {
 		for s := from; s < to; s++ {
-			if asked {
+			if requested {
 				first.Admit(prompt("A D o1"), "x", false, at(s))
 			}
 			second.Merge(first.Groups(at(s)), at(s+0.1))
