Quarantine: one method that says whether a group is held; fewer exported names

group.held was a twin of Group.Held, Loss.Valid was used in its own package only, and begun answers cloned the parts of groups that are not held. Two comments corrected. No change of behaviour.

--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -37,8 +37,6 @@
 	lastRequested time.Time // when a request with the parts last came to any instance, as far as known
 }
 
-func (g *group) held() bool { return g.Held() }
-
 // within reports whether a prompt with the given parts has all parts of the group.
 func (g *group) within(parts []string) bool {
 	return !slices.ContainsFunc(g.Parts, func(p string) bool { return !slices.Contains(parts, p) })
@@ -61,7 +59,7 @@
 	if g == nil {
 		g = q.add(parts)
 	}
-	if !g.held() {
+	if !g.Held() {
 		g.Term++
 		g.Trials = nil
 	}
@@ -132,7 +130,7 @@
 		switch {
 		case in.Term > g.Term:
 			g.Term, g.Trials, g.changed = in.Term, in.Trials, now
-			if !g.held() {
+			if !g.Held() {
 				q.markSound(g.Parts, now)
 			}
 			newer = append(newer, g.clone())
--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -26,8 +26,8 @@
 	SettleTime = 150 * time.Millisecond
 )
 
-// Judge holds back the parts against which the evidence is sufficient, and returns the groups that are
-// new. Its caller has been told of begun answers since the time knownSince.
+// Judge holds back the parts against which the evidence is sufficient, and returns the
+// groups that are new. Its caller has been told of begun answers since the time knownSince.
 func (q *Quarantine) Judge(knownSince, now time.Time) []Group {
 	if now.Sub(knownSince) < begunWindow {
 		return nil
@@ -57,7 +57,7 @@
 	explained := make(map[string]bool)
 	for _, l := range q.losses {
 		for _, g := range q.groups {
-			explained[l.Engine] = explained[l.Engine] || g.held() && g.within(l.Parts)
+			explained[l.Engine] = explained[l.Engine] || g.Held() && g.within(l.Parts)
 		}
 	}
 	var list []Loss
--- a/internal/admission/quarantine/loss.go
+++ b/internal/admission/quarantine/loss.go
@@ -44,18 +44,14 @@
 	return Loss{Engine: engine, Prompt: h.Sum64(), Parts: parts, At: at}
 }
 
-// Valid reports whether a loss is within the limits of what is kept.
-func (l Loss) Valid() bool {
-	return l.Engine != "" && validParts(l.Parts)
-}
-
+// validParts reports whether parts are within the limits of what is kept.
 func validParts(parts []string) bool {
 	return len(parts) > 0 && len(parts) <= maxLossParts && !slices.ContainsFunc(parts, func(p string) bool { return len(p) > maxPartBytes })
 }
 
-// RecordLoss keeps a loss as evidence, and reports whether it is new.
+// RecordLoss keeps a loss as evidence, and reports whether it is new and within the limits.
 func (q *Quarantine) RecordLoss(l Loss) bool {
-	if !l.Valid() {
+	if l.Engine == "" || !validParts(l.Parts) {
 		return false
 	}
 	q.mu.Lock()
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -85,8 +85,11 @@
 	q.markSound(parts, now)
 	var changed []Group
 	for _, g := range slices.Collect(maps.Values(q.groups)) {
+		if !g.Held() {
+			continue
+		}
 		left := slices.DeleteFunc(slices.Clone(g.Parts), func(p string) bool { return slices.Contains(parts, p) })
-		if !g.held() || len(left) == len(g.Parts) {
+		if len(left) == len(g.Parts) {
 			continue
 		}
 		trials := g.Trials
@@ -118,7 +121,7 @@
 	parts := sharedParts(prompt)
 	var list []*group
 	for _, g := range q.groups {
-		if g.held() && g.within(parts) {
+		if g.Held() && g.within(parts) {
 			list = append(list, g)
 		}
 	}
--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -26,8 +26,9 @@
 	bytes int // since the timer was set
 }
 
-// New returns a child of ctx that ends with ErrStalled as its cause if no byte arrives
-// within begin, or less than minBytes within a window after that. The clean-up function
+// New returns a child of ctx that ends with ErrStalled as its cause if Reader is
+// not called within begin, or the transfer brings less than minBytes within a window after
+// that. The clean-up function
 // must be called when the transfer is over.
 func New(ctx context.Context, begin, window time.Duration, minBytes int) (context.Context, *Guard, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -60,8 +60,8 @@
 	time.AfterFunc(quarantine.SettleTime, func() { contain.Do(f.log, "judging lost requests", f.judge) })
 }
 
-// judge holds back the parts that the known losses condemn, if this instance is the
-// coordinator.
+// judge holds back the parts against which the known losses are sufficient evidence, if
+// this instance is the coordinator.
 func (f *Forwarder) judge() {
 	f.mu.Lock()
 	since := f.leadsSince
