Log and count the limits that endpoints name for all instances

Package ratelimit keeps the newest claim of each endpoint and takes requests from its limit; no decision uses it yet.

--- a/internal/edge/notice/recorder.go
+++ b/internal/edge/notice/recorder.go
@@ -1,11 +1,12 @@
 // Package notice records what endpoints say of themselves in their responses: that they
-// leave, or that they want a pause. A process that leaves gets no new work from this
-// instance from then on, and the other instances are told, since an endpoint that
-// leaves may not reach the store. A pause binds this instance only. The package does no
-// I/O apart from logging.
+// leave, that they want a pause, or that they limit the requests of all instances. A
+// process that leaves gets no new work from this instance from then on, and the other
+// instances are told, since an endpoint that leaves may not reach the store. A limit binds
+// all instances together, so they are told of it too. A pause binds this instance only.
+// The package does no I/O apart from logging.
 package notice
 
-// This file defines Recorder and Notice.
+// This file defines Recorder.
 
 import (
 	"slices"
@@ -17,28 +18,25 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 )
 
 const (
-	tellTime     = 3 * time.Second // for which other instances are told that a process leaves; covers several polls
+	tellTime     = 3 * time.Second // for which other instances are told what is new; covers several polls
 	memory       = 2 * time.Minute // for which starting instances are told; a process that leaves has ended by then
 	maxTold      = 256             // names that one message holds
 	maxNameBytes = 300             // of a name that another instance tells
 )
 
-// Notice is what an endpoint says of itself in one response.
-type Notice struct {
-	Leaving bool
-	Pause   time.Duration // zero for none
-}
-
 // Recorder records notices. It is safe for concurrent use.
 type Recorder struct {
 	registry *registry.Registry
 	cooldown *cooldown.Tracker
+	limits   *ratelimit.Tracker
 	log      logr.Logger
 	leaving  tally.Counter
 	pauses   tally.Counter
+	limited  tally.Counter
 
 	mu     sync.Mutex
 	recent []told // oldest first
@@ -50,17 +48,20 @@
 	at   time.Time
 }
 
-// New returns a recorder that marks leaving processes in r and starts pauses in c.
-func New(r *registry.Registry, c *cooldown.Tracker, log logr.Logger, scope tally.Scope) *Recorder {
+// New returns a recorder that marks leaving processes in r, starts pauses in c and records
+// limits in l.
+func New(r *registry.Registry, c *cooldown.Tracker, l *ratelimit.Tracker, log logr.Logger, scope tally.Scope) *Recorder {
 	return &Recorder{
-		registry: r, cooldown: c, log: log,
-		leaving: scope.Counter("endpoints_leaving"), pauses: scope.Counter("endpoint_pauses"),
+		registry: r, cooldown: c, limits: l, log: log,
+		leaving: scope.Counter("endpoints_leaving"), pauses: scope.Counter("endpoint_pauses"), limited: scope.Counter("endpoint_limits"),
 	}
 }
 
-// Record records the notice in a response of an endpoint.
-func (r *Recorder) Record(e *registry.Endpoint, n Notice) {
+// Record records the notice in a response of an endpoint to a request that was sent at the
+// given time.
+func (r *Recorder) Record(e *registry.Endpoint, n Notice, sent time.Time) {
 	now := time.Now()
+	r.recordLimit(e, n, sent, now)
 	if n.Leaving {
 		r.markLeaving(e.Name(), "the endpoint said so", now)
 	}
@@ -71,6 +72,24 @@
 	}
 }
 
+func (r *Recorder) recordLimit(e *registry.Endpoint, n Notice, sent, now time.Time) {
+	claim := ratelimit.Claim{Endpoint: e.Name(), At: sent}
+	switch n.Limit {
+	case NoLimit:
+	case Named:
+		claim.Limited, claim.Rate, claim.At = true, n.Rate, now
+	case Untold:
+		return
+	default:
+		panic("notice: got limit " + n.Limit.String())
+	}
+	if before, changed := r.limits.Record(claim, now); changed {
+		r.limited.Inc(1)
+		r.log.Info("endpoint changed its limit", "endpoint", e.ID, "service", e.Service, "limited", claim.Limited, "rate", claim.Rate,
+			"limitedBefore", before.Limited, "rateBefore", before.Rate, "reason", "the endpoint said so")
+	}
+}
+
 // Learn records the names of processes that leave, which another instance has told.
 func (r *Recorder) Learn(names []string) {
 	now := time.Now()
--- a/internal/edge/notice/recorder_test.go
+++ b/internal/edge/notice/recorder_test.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 )
 
 // TestLeavingIsToldToOthers guards against an endpoint that leaves but gets work from
@@ -29,10 +30,10 @@
 		for i := range instances {
 			r := registry.New(func(all []*registry.Endpoint) { indexes[i] = registry.NewIndex(all) })
 			r.Put(e, time.Now())
-			instances[i] = notice.New(r, cooldown.New(), logr.Discard(), tally.NoopScope)
+			instances[i] = notice.New(r, cooldown.New(), ratelimit.New(), logr.Discard(), tally.NoopScope)
 		}
 		g.Expect(instances[0].Recent()).To(BeEmpty())
-		instances[0].Record(&e, notice.Notice{Leaving: true})
+		instances[0].Record(&e, notice.Notice{Leaving: true}, time.Now())
 		g.Expect(indexes[0].ByName("a@5").AcceptsWork()).To(BeFalse())
 		g.Expect(indexes[1].ByName("a@5").AcceptsWork()).To(BeTrue())
 		for range 40 { // 20 s of messages in both directions
@@ -52,7 +53,7 @@
 // TestLearnIsBounded guards against a message that fills the memory.
 func TestLearnIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	r := notice.New(registry.New(func([]*registry.Endpoint) {}), cooldown.New(), logr.Discard(), tally.NoopScope)
+	r := notice.New(registry.New(func([]*registry.Endpoint) {}), cooldown.New(), ratelimit.New(), logr.Discard(), tally.NoopScope)
 	names := []string{"", strings.Repeat("x", 1<<20)}
 	for i := range 1000 {
 		names = append(names, fmt.Sprint("e", i, "@1"))
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -35,6 +35,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/routing/strategy"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/table/policy"
@@ -142,7 +143,7 @@
 	pool, closePool := connpool.New()
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, notice.New(f, stats.Cooldown(), logr.Discard(), tally.NoopScope), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, notice.New(f, stats.Cooldown(), ratelimit.New(), logr.Discard(), tally.NoopScope), logr.Discard())
 	return h
 }
 
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -25,7 +25,8 @@
 // send sends the request to the leased endpoint and relays the response, or
 // decides what follows a failure. It reports whether to make another attempt.
 func (x *exchange) send(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint) (bool, error) {
-	left := time.Until(x.request.Deadline)
+	sent := time.Now()
+	left := x.request.Deadline.Sub(sent)
 	resp, err := x.pool.Send(ctx, x.endpointRequest(e, left))
 	x.logSend(lease, e, left, resp, err)
 	if err != nil {
@@ -38,7 +39,7 @@
 	}
 	defer resp.Close()
 	x.reportLoad(lease, resp)
-	x.recordNotice(e, resp)
+	x.recordNotice(e, resp, sent)
 	switch {
 	case x.codec.Refused(resp.Status, resp.Header):
 		return x.handleRefusal(ctx, lease, resp)
@@ -72,12 +73,12 @@
 
 // recordNotice records what the endpoint says of itself in a response, before anything
 // of the response reaches the caller.
-func (x *exchange) recordNotice(e *registry.Endpoint, resp *connpool.Response) {
+func (x *exchange) recordNotice(e *registry.Endpoint, resp *connpool.Response, sent time.Time) {
 	n, err := x.codec.Notice(resp.Status, resp.Header)
 	if err != nil {
 		x.log.Info("notice of an endpoint ignored", "request", x.request.ID, "endpoint", e.ID, "reason", err.Error())
 	}
-	x.notices.Record(e, n)
+	x.notices.Record(e, n, sent)
 }
 
 // handleRefusal handles a response which says that the endpoint did not run the
--- /dev/null
+++ b/internal/routing/ratelimit/tracker.go
@@ -0,0 +1,176 @@
+// Package ratelimit keeps the limits that endpoints name for the requests of all instances
+// together.
+//
+// It answers an endpoint in need that gets requests from many instances: a limit that each
+// instance kept for itself would be passed by their sum. Only the instance that chooses
+// endpoints for others, which is the coordinator, takes requests from a limit; an instance that acts for
+// itself has the part of the limit that its share of the fleet allows. A limit begins
+// without a burst, also where it was learned from another instance, so that an
+// instance that replaces another one does not spend a second allowance.
+//
+// Callers pass the time in; the package does no I/O.
+package ratelimit
+
+// This file defines Tracker, which keeps the newest claim of each endpoint.
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	retention    = 10 * time.Minute // for which the claims of an endpoint are kept after its last answer
+	maxEndpoints = 4096             // whose claims are kept; the ones that answered last
+	maxNameBytes = 300              // of the name of an endpoint that another instance tells
+)
+
+// Tracker keeps the newest claim of each endpoint that named a limit, and counts the
+// requests that are taken from it. It is safe for concurrent use.
+type Tracker struct {
+	kept atomic.Int64 // number of endpoints, which spares the lock while there are none
+
+	mu        sync.Mutex
+	endpoints map[string]*state
+	share     float64 // part of each limit that this instance may take
+}
+
+// state is what is known of one endpoint.
+type state struct {
+	Claim
+	changed time.Time // when this instance learned the limit, or its end
+	bucket  bucket
+}
+
+// New returns a tracker without limits, which may take the whole of each.
+func New() *Tracker { return &Tracker{endpoints: make(map[string]*state), share: 1} }
+
+// Record records a claim and reports whether it changes the limit of the endpoint, and
+// what was known before. Claims without a limit are kept only for endpoints that had one.
+func (t *Tracker) Record(c Claim, now time.Time) (before Claim, changed bool) {
+	if !c.Limited && t.kept.Load() == 0 {
+		return Claim{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record(c, now)
+}
+
+// record is Record for callers that hold the lock.
+func (t *Tracker) record(c Claim, now time.Time) (before Claim, changed bool) {
+	s := t.endpoints[c.Endpoint]
+	if s == nil {
+		if !c.Limited {
+			return Claim{}, false
+		}
+		t.prune(now)
+		t.endpoints[c.Endpoint] = &state{Claim: c, changed: now, bucket: newBucket(now)}
+		t.kept.Store(int64(len(t.endpoints)))
+		return Claim{}, true
+	}
+	before = s.Claim
+	if !c.supersedes(before) {
+		return before, false
+	}
+	s.bucket.refill(t.rate(s), now)
+	s.Claim = c
+	if c.sameLimit(before) {
+		return before, false
+	}
+	s.changed = now
+	if !before.Limited {
+		s.bucket = newBucket(now)
+	}
+	return before, true
+}
+
+// prune forgets the endpoints that have not answered for long, and the one that answered
+// first if there are too many. The caller holds the lock.
+func (t *Tracker) prune(now time.Time) {
+	maps.DeleteFunc(t.endpoints, func(_ string, s *state) bool { return now.Sub(s.At) > retention })
+	if len(t.endpoints) >= maxEndpoints {
+		all := slices.Collect(maps.Values(t.endpoints))
+		oldest := slices.MinFunc(all, func(a, b *state) int { return a.At.Compare(b.At) })
+		delete(t.endpoints, oldest.Endpoint)
+	}
+}
+
+// Limited reports whether the endpoint with the given name has a limit.
+func (t *Tracker) Limited(name string) bool {
+	_, limited := t.Limit(name)
+	return limited
+}
+
+// Limit returns the limit of an endpoint in requests a second, and false if it has none.
+func (t *Tracker) Limit(name string) (float64, bool) {
+	if t.kept.Load() == 0 {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.endpoints[name]
+	if s == nil || !s.Limited {
+		return 0, false
+	}
+	return s.Rate, true
+}
+
+// Any reports whether any endpoint may have a limit.
+func (t *Tracker) Any() bool { return t.kept.Load() > 0 }
+
+// SetShare sets the part of each limit that this instance may take, from 0 to 1.
+func (t *Tracker) SetShare(share float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	share = max(0, min(1, share))
+	if share == t.share {
+		return
+	}
+	for _, s := range t.endpoints {
+		s.bucket.refill(t.rate(s), now)
+	}
+	t.share = share
+}
+
+// rate returns the requests a second that this instance may take from a limit. The caller
+// holds the lock.
+func (t *Tracker) rate(s *state) float64 { return max(trialRate, s.Rate) * t.share }
+
+// Told returns the claims that changed within age, and all limits if age is zero, to tell
+// them to another instance: the latest ones if there are too many for a message.
+func (t *Tracker) Told(age time.Duration, most int, now time.Time) []Claim {
+	if t.kept.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*state
+	for _, s := range t.endpoints {
+		if age == 0 && s.Limited || age > 0 && now.Sub(s.changed) <= age {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *state) int { return b.changed.Compare(a.changed) })
+	claims := make([]Claim, 0, min(most, len(list)))
+	for _, s := range list[:min(most, len(list))] {
+		claims = append(claims, s.Claim)
+	}
+	return claims
+}
+
+// Learn records claims that another instance tells, and returns those that change a limit.
+func (t *Tracker) Learn(claims []Claim, now time.Time) []Claim {
+	var list []Claim
+	for _, c := range claims {
+		if c.Endpoint == "" || len(c.Endpoint) > maxNameBytes || math.IsNaN(c.Rate) || c.Rate < 0 {
+			continue
+		}
+		if _, changed := t.Record(c, now); changed {
+			list = append(list, c)
+		}
+	}
+	return list
+}
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -35,6 +35,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -154,7 +155,7 @@
 	in.history, in.peerStatus = history.New(), peerstatus.New()
 	in.registry = registry.New(func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
-	in.notices = notice.New(in.registry, cooldown.New(), logr.Discard(), tally.NoopScope)
+	in.notices = notice.New(in.registry, cooldown.New(), ratelimit.New(), logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
 	in.quarantine = quarantine.New()
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, catalogNow, endpointsNow, logr.Discard()),
@@ -367,7 +368,7 @@
 	all := []*instance{
 		c.start(t, &fakeExecutor{name: "leader"}, 800), c.start(t, &fakeExecutor{name: "b"}, 400), c.start(t, &fakeExecutor{name: "c"}, 400),
 	}
-	all[1].notices.Record(all[1].index.Load().ByName("e1@3"), notice.Notice{Leaving: true})
+	all[1].notices.Record(all[1].index.Load().ByName("e1@3"), notice.Notice{Leaving: true}, time.Now())
 	for _, in := range all {
 		g.Eventually(func() bool { return in.index.Load().ByName("e1@3").AcceptsWork() }, waitLimit).Should(BeFalse(), in.name)
 	}
