--- a/internal/edge/notice/recorder.go
+++ b/internal/edge/notice/recorder.go
@@ -26,6 +26,8 @@
 	memory       = 2 * time.Minute // for which starting instances are told; a process that leaves has ended by then
 	maxTold      = 256             // names that one message holds
 	maxNameBytes = 300             // of a name that another instance tells
+
+	maxToldLimits = 4096 // that a starting instance is told
 )
 
 // Recorder records notices. It is safe for concurrent use.
@@ -84,12 +86,39 @@
 		panic("notice: got limit " + n.Limit.String())
 	}
 	if before, changed := r.limits.Record(claim, now); changed {
-		r.limited.Inc(1)
-		r.log.Info("endpoint changed its limit", "endpoint", e.ID, "service", e.Service, "limited", claim.Limited, "rate", claim.Rate,
-			"limitedBefore", before.Limited, "rateBefore", before.Rate, "reason", "the endpoint said so")
+		r.applyLimit(claim, before, "the endpoint said so", now)
+	}
+}
+
+// LearnLimits records what endpoints said of their limits, which another instance has told.
+func (r *Recorder) LearnLimits(claims []ratelimit.Claim) {
+	now := time.Now()
+	for _, c := range claims {
+		if before, changed := r.limits.Learn(c, now); changed {
+			r.applyLimit(c, before, "another instance said so", now)
+		}
 	}
 }
 
+// applyLimit handles a change of a limit. Without it, calls would return to the endpoint all at
+// once, as it has few.
+func (r *Recorder) applyLimit(c, before ratelimit.Claim, reason string, now time.Time) {
+	if !c.Limited {
+		r.cooldown.Resume(c.Endpoint, now)
+	}
+	r.limited.Inc(1)
+	r.log.Info("endpoint changed its limit", "endpoint", c.Endpoint, "limited", c.Limited, "rate", c.Rate,
+		"limitedBefore", before.Limited, "rateBefore", before.Rate, "reason", reason)
+}
+
+// RecentLimits returns what changed within tellTime in the limits of endpoints.
+func (r *Recorder) RecentLimits() []ratelimit.Claim {
+	return r.limits.Changed(tellTime, maxTold, time.Now())
+}
+
+// KnownLimits returns all limits of endpoints. It is for an instance that has just started.
+func (r *Recorder) KnownLimits() []ratelimit.Claim { return r.limits.All(maxToldLimits) }
+
 // Learn records the names of processes that leave, which another instance has told.
 func (r *Recorder) Learn(names []string) {
 	now := time.Now()
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -33,9 +33,10 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
-	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/routing/strategy"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 	"github.com/jacinthstile/jacinthstile/internal/table/policy"
@@ -58,6 +59,13 @@
 func (testCodec) Load(http.Header) (endpointstats.Load, bool)      { return endpointstats.Load{}, false }
 func (testCodec) Notice(status int, h http.Header) (notice.Notice, error) {
 	n := notice.Notice{Leaving: h.Get("Leaving") != ""}
+	if text := h.Get("Limit"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return n, err
+		}
+		n.Limit, n.Rate = notice.Named, rate
+	}
 	if status == http.StatusServiceUnavailable && h.Get("Pause") != "" {
 		length, err := time.ParseDuration(h.Get("Pause"))
 		if err != nil {
@@ -120,6 +128,8 @@
 	prepares int // calls of Prepare
 	ended    int // calls of Prepared.Ended
 	prepare  func(p proxy.PrepareParams) (proxy.Prepared, error)
+	permits  []proxy.PermitParams
+	permit   func(p proxy.PermitParams) (string, error)
 
 	quarantine *quarantine.Quarantine
 	losses     []string // names of the engines that lost requests
@@ -143,7 +153,7 @@
 	pool, closePool := connpool.New()
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, notice.New(f, stats.Cooldown(), ratelimit.New(), logr.Discard(), tally.NoopScope), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), logr.Discard())
 	return h
 }
 
@@ -161,6 +171,17 @@
 	}, nil
 }
 
+// Permit implements proxy.Preparer. It records its calls and answers as the test has set.
+func (h *harness) Permit(ctx context.Context, p proxy.PermitParams) (string, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.permits = append(h.permits, p)
+	if h.permit == nil {
+		return "", fault.New(code.Overloaded, "no permit")
+	}
+	return h.permit(p)
+}
+
 // RecordLoss implements proxy.Preparer.
 func (h *harness) RecordLoss(engine string, _ *request.Request) {
 	h.mu.Lock()
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -31,6 +31,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/table/holder"
 )
 
@@ -51,6 +52,10 @@
 	// finished. The error is a *fault.Fault of class "not run", or the context's
 	// error.
 	Prepare(ctx context.Context, r PrepareParams) (Prepared, error)
+	// Permit takes a request from the limit of an endpoint that limits the requests of all
+	// instances, and returns the name of the endpoint. The error is a *fault.Fault of class
+	// "not run", or the context's error.
+	Permit(ctx context.Context, r PermitParams) (string, error)
 	// RecordLoss records that an engine, given by the name of its process, lost a
 	// request before the first event of its answer.
 	RecordLoss(engine string, r *request.Request)
@@ -63,10 +68,18 @@
 	Tried   []string // names of endpoints that failed or refused the request
 }
 
+// PermitParams holds the parameters of Permit.
+type PermitParams struct {
+	Request   *request.Request
+	Endpoints []string  // names of the endpoints that may take the request
+	Latest    time.Time // latest time at which sending the request is still useful; zero if it does not wait
+}
+
 // Prepared is the result of Prepare.
 type Prepared struct {
 	Inputs            []string // handles of stage results
 	PreferredEndpoint string   // name of the endpoint to run on; empty for any
+	Permitted         bool     // the request was taken from the limit that this endpoint has for all instances
 	Trial             bool     // the prompt has parts that are held back; the request is sent once
 	// Started is called at the first event of the response, when the endpoint
 	// has read the inputs and they can be released.
@@ -86,19 +99,21 @@
 	retryBudget *retrylimit.Limiter
 	preparer    Preparer
 	quarantine  *quarantine.Quarantine
+	limits      *ratelimit.Tracker
 	notices     *notice.Recorder
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
-// limits retries; q knows which prompts are held back; notices receives what endpoints
-// say of themselves.
+// limits retries; q knows which prompts are held back; limits knows which endpoints limit the
+// requests of all instances; notices receives what endpoints say of themselves.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
-	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, notices *notice.Recorder, log logr.Logger,
+	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, limits *ratelimit.Tracker,
+	notices *notice.Recorder, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
 		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
-		quarantine: q, notices: notices, log: log,
+		quarantine: q, limits: limits, notices: notices, log: log,
 	}
 }
 
@@ -221,10 +236,13 @@
 		LatestStart: latest,
 	}
 	if x.prepared.PreferredEndpoint != "" && !slices.Contains(x.tried, x.prepared.PreferredEndpoint) {
-		if lease := x.dispatcher.AcquireNamed(call, x.prepared.PreferredEndpoint); lease != nil {
+		if lease := x.dispatcher.AcquireNamed(call, x.prepared.PreferredEndpoint, x.prepared.Permitted); lease != nil {
 			return lease, nil
 		}
 	}
+	if limited := x.limitedEndpoints(); len(limited) > 0 {
+		return x.acquireLimited(ctx, call, limited)
+	}
 	return x.dispatcher.Acquire(ctx, call)
 }
 
@@ -232,12 +250,17 @@
 // lease. Errors other than a refusal are returned as they are.
 func (x *exchange) acquireFault(err error) error {
 	var r *dispatcher.Refusal
-	if !errors.As(err, &r) {
+	var limited *fault.Fault
+	isLimited := errors.As(err, &limited)
+	if !isLimited && !errors.As(err, &r) {
 		return err
 	}
 	if x.mayHaveRun {
 		return fault.Wrap(code.AnswerLost, err, "no endpoint for another attempt")
 	}
+	if isLimited {
+		return limited
+	}
 	c := code.NoEndpoint
 	if r.Busy {
 		c = code.Overloaded
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -101,11 +101,13 @@
 }
 
 // AcquireNamed returns a lease on the endpoint with the given name, which the coordinator has
-// chosen, regardless of its limit. It returns nil if the endpoint may get no new work.
-func (d *Dispatcher) AcquireNamed(c Call, name string) *Lease {
+// chosen, regardless of its concurrency limit. It returns nil if the endpoint may get no new
+// work, or if it limits the requests of all instances and the coordinator did not take this
+// one from the limit, which permitted says.
+func (d *Dispatcher) AcquireNamed(c Call, name string, permitted bool) *Lease {
 	table := d.tables.Current()
 	c.Query.Now = time.Now()
-	if !picker.Allowed(table, d.stats, name) || !d.stats.Cooldown().Take(name, cooldown.Usual, c.Query.Now) {
+	if !picker.Allowed(table, d.stats, name) || !permitted && d.stats.Limits().Limited(name) || !d.stats.Cooldown().Take(name, cooldown.Usual, c.Query.Now) {
 		return nil
 	}
 	return d.newLease(c, table, picker.Choice{Endpoint: table.Endpoint(name), Reason: picker.Reason{Code: picker.ByCoordinator}})
--- a/internal/peer/method/method.go
+++ b/internal/peer/method/method.go
@@ -32,6 +32,8 @@
 	StageOrder
 	// StageNews reports the progress of requests to the coordinator.
 	StageNews
+	// StagePermit asks the coordinator for a request from the limits of endpoints.
+	StagePermit
 )
 
 var names = [...]string{
@@ -46,6 +48,8 @@
 	StageRoll:  "stage-roll",
 	StageOrder: "stage-order",
 	StageNews:  "stage-news",
+
+	StagePermit: "stage-permit",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/routing/cooldown/tracker.go
+++ b/internal/routing/cooldown/tracker.go
@@ -68,6 +68,18 @@
 	t.kept.Store(int64(len(t.pauses)))
 }
 
+// Resume makes the calls of an endpoint return one by one, as after a pause that ends now.
+// A pause that ends later stays in force.
+func (t *Tracker) Resume(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	if p := t.pauses[name]; p == nil || p.end.Before(now) {
+		t.pauses[name] = &pause{start: now, end: now}
+	}
+	t.kept.Store(int64(len(t.pauses)))
+}
+
 // prune forgets the pauses that no longer matter.
 func (t *Tracker) prune(now time.Time) {
 	for name, p := range t.pauses {
--- a/internal/routing/endpointstats/tracker.go
+++ b/internal/routing/endpointstats/tracker.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 )
 
 const numShards = 32
@@ -28,6 +29,7 @@
 	index   *prefix.Index
 	leaving atomic.Pointer[map[string]bool]
 	pauses  *cooldown.Tracker
+	limits  *ratelimit.Tracker
 }
 
 type shard struct {
@@ -37,7 +39,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	t := &Tracker{index: prefix.NewIndex(), pauses: cooldown.New()}
+	t := &Tracker{index: prefix.NewIndex(), pauses: cooldown.New(), limits: ratelimit.New()}
 	for i := range t.shards {
 		t.shards[i].entries = make(map[string]*Entry)
 	}
@@ -116,6 +118,9 @@
 // Cooldown returns the pauses that endpoints asked for.
 func (t *Tracker) Cooldown() *cooldown.Tracker { return t.pauses }
 
+// Limits returns the limits that endpoints named for all instances.
+func (t *Tracker) Limits() *ratelimit.Tracker { return t.limits }
+
 // SetLeaving replaces the set of endpoints that are leaving, which must get no
 // new calls. The caller must not change the map afterwards.
 func (t *Tracker) SetLeaving(names map[string]bool) { t.leaving.Store(&names) }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -92,8 +92,8 @@
 	return table.Weight(name) > 0 && !stats.Leaving(name)
 }
 
-// Pick chooses an endpoint for a call. It never chooses one that is not Allowed, and
-// one that asked for a pause only as package cooldown allows. The caller must Take the
+// Pick chooses an endpoint for a call. It never chooses one that is not Allowed or that has
+// a limit for all instances, and one that asked for a pause only as package cooldown allows. The caller must Take the
 // call from the cooldown with the Use of the choice.
 func (p *Picker) Pick(table *fleettable.Table, q Query) Choice {
 	g := p.group(table, key{q.Role, q.Model})
@@ -233,7 +233,9 @@
 }
 
 // usable reports whether a member is neither leaving, nor among the tried endpoints, nor
-// in a pause.
+// in a pause, nor limits the requests of all instances. What such a limit allows is not for
+// one instance to take.
 func (p *Picker) usable(m *member, q *Query) bool {
-	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name) && p.stats.Cooldown().Allows(m.Name, q.use, q.Now)
+	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name) && p.stats.Cooldown().Allows(m.Name, q.use, q.Now) &&
+		!p.stats.Limits().Limited(m.Name)
 }
--- a/internal/routing/ratelimit/bucket.go
+++ b/internal/routing/ratelimit/bucket.go
@@ -11,6 +11,9 @@
 	// burstTime is how much of a limit may be taken at once, besides one request. Requests
 	// do not come evenly, and endpoints bear half as much again.
 	burstTime = 250 * time.Millisecond
+	// trialInterval is the time between two requests that an instance has sent to an endpoint
+	// although others could take them, to use its limit and to notice its end.
+	trialInterval = time.Second
 )
 
 // bucket is a token bucket of requests.
@@ -49,6 +52,15 @@
 	return true
 }
 
+// Return gives back a request that was taken and not sent.
+func (t *Tracker) Return(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.endpoints[name]; s != nil && s.Limited {
+		s.bucket.tokens++
+	}
+}
+
 // Left returns the time until the limit of an endpoint has room for a request, and false if
 // this instance has no part of it. It is zero if it has room now.
 func (t *Tracker) Left(name string, now time.Time) (time.Duration, bool) {
@@ -85,3 +97,16 @@
 	}
 	return t.rate(s), true
 }
+
+// TrialDue reports whether an endpoint with a limit should get the next request although other
+// endpoints could take it, and counts that as the instance's trial.
+func (t *Tracker) TrialDue(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.endpoints[name]
+	if s == nil || !s.Limited || now.Sub(s.lastTrial) < trialInterval {
+		return false
+	}
+	s.lastTrial = now
+	return true
+}
--- a/internal/routing/ratelimit/tracker.go
+++ b/internal/routing/ratelimit/tracker.go
@@ -41,8 +41,9 @@
 // state is what is known of one endpoint.
 type state struct {
 	Claim
-	changed time.Time // when this instance learned the limit, or its end
-	bucket  bucket
+	changed   time.Time // when this instance learned the limit, or its end
+	lastTrial time.Time
+	bucket    bucket
 }
 
 // New returns a tracker without limits, which may take the whole of each.
@@ -121,7 +122,9 @@
 // Any reports whether any endpoint may have a limit.
 func (t *Tracker) Any() bool { return t.kept.Load() > 0 }
 
-// SetShare sets the part of each limit that this instance may take, from 0 to 1.
+// SetShare sets the part of each limit that this instance may take, from 0 to 1. An instance
+// that gets a part after it had none begins without requests that it could have taken before: many
+// instances may do so at the same time.
 func (t *Tracker) SetShare(share float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -130,7 +133,9 @@
 		return
 	}
 	for _, s := range t.endpoints {
-		s.bucket.refill(t.rate(s), now)
+		if s.bucket.refill(t.rate(s), now); share == 0 {
+			s.bucket = newBucket(now)
+		}
 	}
 	t.share = share
 }
@@ -139,9 +144,19 @@
 // holds the lock.
 func (t *Tracker) rate(s *state) float64 { return max(trialRate, s.Rate) * t.share }
 
-// Told returns the claims that changed within age, and all limits if age is zero, to tell
-// them to another instance: the latest ones if there are too many for a message.
-func (t *Tracker) Told(age time.Duration, most int, now time.Time) []Claim {
+// Changed returns the claims that changed a limit within age, to tell them to other instances:
+// the latest ones if there are more than most.
+func (t *Tracker) Changed(age time.Duration, most int, now time.Time) []Claim {
+	return t.list(most, func(s *state) bool { return now.Sub(s.changed) <= age })
+}
+
+// All returns all limits, to tell them to an instance that starts: the latest ones if there are
+// more than most.
+func (t *Tracker) All(most int) []Claim {
+	return t.list(most, func(s *state) bool { return s.Limited })
+}
+
+func (t *Tracker) list(most int, wanted func(*state) bool) []Claim {
 	if t.kept.Load() == 0 {
 		return nil
 	}
@@ -149,7 +164,7 @@
 	defer t.mu.Unlock()
 	var list []*state
 	for _, s := range t.endpoints {
-		if age == 0 && s.Limited || age > 0 && now.Sub(s.changed) <= age {
+		if wanted(s) {
 			list = append(list, s)
 		}
 	}
@@ -161,16 +176,11 @@
 	return claims
 }
 
-// Learn records claims that another instance tells, and returns those that change a limit.
-func (t *Tracker) Learn(claims []Claim, now time.Time) []Claim {
-	var list []Claim
-	for _, c := range claims {
-		if c.Endpoint == "" || len(c.Endpoint) > maxNameBytes || math.IsNaN(c.Rate) || c.Rate < 0 {
-			continue
-		}
-		if _, changed := t.Record(c, now); changed {
-			list = append(list, c)
-		}
+// Learn is Record for a claim that another instance tells. A claim that makes no sense changes
+// nothing.
+func (t *Tracker) Learn(c Claim, now time.Time) (before Claim, changed bool) {
+	if c.Endpoint == "" || len(c.Endpoint) > maxNameBytes || math.IsNaN(c.Rate) || math.IsInf(c.Rate, 0) || c.Rate < 0 {
+		return Claim{}, false
 	}
-	return list
+	return t.Record(c, now)
 }
--- a/internal/routing/ratelimit/tracker_test.go
+++ b/internal/routing/ratelimit/tracker_test.go
@@ -95,7 +95,7 @@
 	taken := 0
 	for round := range 20 {
 		l := ratelimit.New() // of the instance that takes over
-		l.Learn([]ratelimit.Claim{{Endpoint: "e", Limited: true, Rate: 2, At: start}}, at(float64(round)/10))
+		l.Learn(ratelimit.Claim{Endpoint: "e", Limited: true, Rate: 2, At: start}, at(float64(round)/10))
 		for ms := range 100 {
 			if l.Take("e", at(float64(round)/10+float64(ms)/1000)) {
 				taken++
@@ -105,6 +105,28 @@
 	g.Expect(taken).To(BeNumerically("<=", 4))
 }
 
+// TestNoRequestsOfAShareThatWasNotHeld guards against a burst by instances that all begin to take
+// requests when their coordinator is lost.
+func TestNoRequestsOfAShareThatWasNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	taken := 0
+	for range 300 {
+		l := ratelimit.New()
+		l.Record(ratelimit.Claim{Endpoint: "e", Limited: true, Rate: 5, At: start}, start)
+		l.SetShare(1, at(1))
+		l.SetShare(0, at(2))
+		_, ok := l.Left("e", at(100))
+		g.Expect(ok).To(BeFalse())
+		l.SetShare(1.0/300, at(100))
+		for ms := range 4000 {
+			if l.Take("e", at(100+float64(ms)/1000)) {
+				taken++
+			}
+		}
+	}
+	g.Expect(taken).To(BeNumerically("<=", 4*5+2))
+}
+
 // TestToldClaimsEnd guards against claims that circulate for ever, and a starting instance
 // that is not told of limits.
 func TestToldClaimsEnd(t *testing.T) {
@@ -113,16 +135,20 @@
 	a.Record(ratelimit.Claim{Endpoint: "e", Limited: true, Rate: 2, At: start}, start)
 	for i := range 40 {
 		now := at(float64(i) / 2)
-		b.Learn(a.Told(3*time.Second, 256, now), now)
-		a.Learn(b.Told(3*time.Second, 256, now), now)
+		for _, c := range a.Changed(3*time.Second, 256, now) {
+			b.Learn(c, now)
+		}
+		for _, c := range b.Changed(3*time.Second, 256, now) {
+			a.Learn(c, now)
+		}
 	}
 	g.Expect(b.Limited("e")).To(BeTrue())
-	g.Expect(a.Told(3*time.Second, 256, at(20))).To(BeEmpty())
-	g.Expect(b.Told(3*time.Second, 256, at(20))).To(BeEmpty())
-	g.Expect(a.Told(0, 256, at(20))).To(HaveLen(1))
+	g.Expect(a.Changed(3*time.Second, 256, at(20))).To(BeEmpty())
+	g.Expect(b.Changed(3*time.Second, 256, at(20))).To(BeEmpty())
+	g.Expect(a.All(256)).To(HaveLen(1))
 	for i := range 5000 {
-		a.Learn([]ratelimit.Claim{{Endpoint: fmt.Sprint("e", i), Limited: true, Rate: 1, At: at(30)}}, at(30))
+		a.Learn(ratelimit.Claim{Endpoint: fmt.Sprint("e", i), Limited: true, Rate: 1, At: at(30)}, at(30))
 	}
-	g.Expect(len(a.Told(0, 10_000, at(30)))).To(BeNumerically("<=", 4096))
-	g.Expect(a.Told(3*time.Second, 256, at(30))).To(HaveLen(256))
+	g.Expect(len(a.All(10_000))).To(BeNumerically("<=", 4096))
+	g.Expect(a.Changed(3*time.Second, 256, at(30))).To(HaveLen(256))
 }
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -22,18 +22,21 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 	"github.com/jacinthstile/jacinthstile/internal/stage/scheduler"
 )
 
 const (
-	tickInterval    = 50 * time.Millisecond // between checks for overdue calls and expired jobs
-	freeDelay       = 30 * time.Millisecond // time for which handles are collected, so that one call frees many results
-	freeTimeout     = 2 * time.Second       // limit for one call that frees results
-	maxFailedPieces = 8                     // a job with more failed executions is aborted
-	maxJobs         = 4096
-	busyRetryAfter  = 300 * time.Millisecond // for a refusal because of maxJobs: some of the jobs have ended by then
+	tickInterval = 50 * time.Millisecond // between checks for overdue calls and expired jobs
+	freeDelay    = 30 * time.Millisecond // time for which handles are collected, so that one call frees many results
+	freeTimeout  = 2 * time.Second       // limit for one call that frees results
+	// limitedFreeDelay is freeDelay for an endpoint that limits its calls.
+	limitedFreeDelay = time.Second
+	maxFailedPieces  = 8 // a job with more failed executions is aborted
+	maxJobs          = 4096
+	busyRetryAfter   = 300 * time.Millisecond // for a refusal because of maxJobs: some of the jobs have ended by then
 )
 
 // Batcher runs jobs. It is safe for concurrent use.
@@ -42,6 +45,7 @@
 	endpoints func() *registry.Index
 	executor  executor.Executor
 	pauses    *cooldown.Tracker
+	limits    *ratelimit.Tracker
 	log       logr.Logger
 
 	mu           sync.Mutex
@@ -67,10 +71,13 @@
 
 // New returns a Batcher without jobs. The function currentCatalog returns nil while
 // there is no catalog; currentEndpoints returns the index of the known endpoints; pauses
-// holds those of them that asked for a pause.
-func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, pauses *cooldown.Tracker, log logr.Logger) *Batcher {
+// holds those of them that asked for a pause, and limits those that limit the calls of all
+// instances.
+func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, pauses *cooldown.Tracker,
+	limits *ratelimit.Tracker, log logr.Logger,
+) *Batcher {
 	return &Batcher{
-		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, log: log, scheduler: scheduler.New(),
+		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, log: log, scheduler: scheduler.New(),
 		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool),
 		inFlight: make(map[*batchCall]struct{}),
 	}
--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
@@ -159,6 +160,7 @@
 	*batcher.Batcher
 	executor *fakeExecutor
 	pauses   *cooldown.Tracker
+	limits   *ratelimit.Tracker
 	index    atomic.Pointer[registry.Index]
 	jobCount int
 }
@@ -166,7 +168,7 @@
 // withFixture runs a test in a synctest bubble, with Run in the background.
 func withFixture(t *testing.T, test func(g *WithT, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New()}
+		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New(), limits: ratelimit.New()}
 		batch := catalog.Batch{MaxPieces: maxPieces, MaxCalls: 1, CallOverhead: callTime, PieceTime: itemTime, ResultBytes: 1000, ResultRetention: 4 * time.Second}
 		c := catalog.New(1, nil, []*catalog.Service{{Name: "first", Batch: &batch}, {Name: "second", Batch: &batch}}, nil, false, catalog.Limits{})
 		f.index.Store(registry.NewIndex([]*registry.Endpoint{
@@ -174,7 +176,7 @@
 			{ID: "b", Service: "first", Address: "b:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
 		}))
-		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, logr.Discard())
+		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, f.limits, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -539,7 +541,7 @@
 // that has just been restarted and has no catalog yet.
 func TestPrepareBeforeFirstCatalog(t *testing.T) {
 	g := NewWithT(t)
-	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), logr.Discard())
+	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), ratelimit.New(), logr.Discard())
 	now := time.Now()
 	j := job.New("j", "j", "key", []catalog.Stage{{Service: "first"}}, []int{1}, 0, now.Add(time.Second), now.Add(2*time.Second))
 	_, err := b.Prepare(context.Background(), j)
--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -74,12 +74,17 @@
 // send starts the next call to an endpoint in the background. It reports whether
 // the scheduler had any pieces for the endpoint, and it may get a call.
 func (b *Batcher) send(e idleEndpoint, batch *catalog.Batch, now time.Time) bool {
-	if !b.pauses.Take(e.Name(), e.use, now) {
+	if !b.limits.Take(e.Name(), now) {
 		return false // a call that frees results was taken meanwhile
 	}
+	if !b.pauses.Take(e.Name(), e.use, now) {
+		b.limits.Return(e.Name())
+		return false
+	}
 	w := e.worker
 	pieces := b.scheduler.NextBatch(scheduler.Worker{Service: e.Service, Centre: e.Centre, FreeBytes: w.space.Available(batch.ResultBytes, now), Slowdown: e.slowdown}, now)
 	if len(pieces) == 0 {
+		b.limits.Return(e.Name())
 		return false
 	}
 	c := &batchCall{
--- a/internal/stage/batcher/free.go
+++ b/internal/stage/batcher/free.go
@@ -71,7 +71,11 @@
 	}
 	w.freeScheduled = true
 	b.pendingFrees++
-	b.flushFreesAfter(freeDelay, e, w)
+	delay := freeDelay
+	if b.limits.Limited(r.Endpoint) {
+		delay = limitedFreeDelay
+	}
+	b.flushFreesAfter(delay, e, w)
 }
 
 func (b *Batcher) flushFreesAfter(delay time.Duration, e *registry.Endpoint, w *worker) {
@@ -81,12 +85,26 @@
 }
 
 // flushFrees calls an endpoint to free the collected results. If the endpoint asked for
-// a pause, it does so afterwards.
+// a pause, it does so afterwards, and if it limits its calls, when the limit has room.
 func (b *Batcher) flushFrees(e *registry.Endpoint, w *worker) {
-	if now := time.Now(); !b.pauses.Take(e.Name(), cooldown.Usual, now) {
+	now := time.Now()
+	left, ok := b.limits.Left(e.Name(), now)
+	if !ok {
+		b.leaveFrees(e, w)
+		return
+	}
+	if left > 0 {
+		b.flushFreesAfter(max(freeDelay, min(left, limitedFreeDelay)), e, w)
+		return
+	}
+	if !b.pauses.Take(e.Name(), cooldown.Usual, now) {
 		b.flushFreesAfter(max(freeDelay, b.pauses.Left(e.Name(), now)), e, w)
 		return
 	}
+	if !b.limits.Take(e.Name(), now) {
+		b.flushFreesAfter(freeDelay, e, w)
+		return
+	}
 	b.mu.Lock()
 	handles, size := w.toFree, w.toFreeBytes
 	w.toFree, w.toFreeBytes, w.freeScheduled = nil, 0, false
@@ -99,6 +117,17 @@
 	}
 }
 
+// leaveFrees leaves results to the endpoint, which drops them after their retention time: this
+// instance has no part of its limit, as another one is the coordinator now.
+func (b *Batcher) leaveFrees(e *registry.Endpoint, w *worker) {
+	b.mu.Lock()
+	n, size := len(w.toFree), w.toFreeBytes
+	w.toFree, w.toFreeBytes, w.freeScheduled = nil, 0, false
+	b.mu.Unlock()
+	b.log.Info("results are not freed: the endpoint limits its calls, and this instance has no part of the limit", "endpoint", e.ID, "results", n)
+	b.freeDone(w, size)
+}
+
 // freeDone counts the space of freed results as free again and dispatches calls.
 // It does so even if the call failed: the endpoint then drops the results soon
 // after by itself.
--- /dev/null
+++ b/internal/stage/batcher/limits_test.go
@@ -0,0 +1,92 @@
+package batcher_test
+
+// This file tests stage work for endpoints that limit the calls of all instances.
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
+	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
+)
+
+// TestLimitedEndpointGetsFewCalls guards against calls beyond the limit of an endpoint, those
+// that free results among them, and against jobs that fail since it takes few: another one does
+// most of the work. For 20 s one job comes each 50 ms.
+func TestLimitedEndpointGetsFewCalls(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		const rate, length = 2.0, 20 * time.Second
+		start := time.Now()
+		f.limits.Record(ratelimit.Claim{Endpoint: "a@0", Limited: true, Rate: rate, At: start}, start)
+		var mu sync.Mutex
+		calls := 0
+		f.executor.intercept = func(e *registry.Endpoint, _ []executor.Item) ([]executor.Outcome, error, bool) {
+			if e.ID == "a" {
+				mu.Lock()
+				calls++
+				mu.Unlock()
+			}
+			return nil, nil, false
+		}
+		var all sync.WaitGroup
+		done, tried := 0, 0
+		for range int(length / (50 * time.Millisecond)) {
+			j := f.job(2, 1, 3*time.Second)
+			all.Go(func() {
+				_, err := f.Prepare(context.Background(), j)
+				mu.Lock()
+				tried++
+				if err == nil {
+					done++
+				}
+				mu.Unlock()
+				f.Release(j.ID)
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		g.Expect(calls).To(BeNumerically(">", rate*length.Seconds()/4), "its limit is used")
+		g.Expect(calls).To(BeNumerically("<=", rate*length.Seconds()+2))
+		g.Expect(done).To(Equal(tried))
+	})
+}
+
+// TestLimitsOfAllEndpointsBoundAdmission guards against jobs that are admitted and can't be
+// done in time, as all endpoints of a stage limit their calls.
+func TestLimitsOfAllEndpointsBoundAdmission(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		start := time.Now()
+		for _, name := range []string{"a@0", "b@0"} {
+			f.limits.Record(ratelimit.Claim{Endpoint: name, Limited: true, Rate: 1, At: start}, start)
+		}
+		var mu sync.Mutex
+		admitted, failedLate := 0, 0
+		var all sync.WaitGroup
+		for range 200 { // 20 jobs a second of 4 pieces each, in calls of 8
+			j := f.job(4, 1, 2*time.Second)
+			all.Go(func() {
+				begin := time.Now()
+				_, err := f.Prepare(context.Background(), j)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					admitted++
+				} else if time.Since(begin) > 100*time.Millisecond {
+					failedLate++
+				}
+				f.Release(j.ID)
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		g.Expect(admitted).To(BeNumerically(">", 10))
+		g.Expect(failedLate).To(BeNumerically("<=", admitted/10))
+	})
+}
--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -142,7 +142,10 @@
 			continue
 		}
 		if !w.inFailureBackoff(now) {
-			usable[e.Centre] += float64(batch.MaxCalls) / slowdown
+			usable[e.Centre] += b.callsAtOnce(e.Name(), batch, slowdown)
+		}
+		if left, ok := b.limits.Left(e.Name(), now); !ok || left > 0 {
+			continue
 		}
 		if w.calls < batch.MaxCalls && !w.inBackoff(now) {
 			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown, use: use})
@@ -157,6 +160,17 @@
 	return state
 }
 
+// callsAtOnce returns how many calls an endpoint can work on at once. One that limits its calls
+// works on fewer, in the mean: half of its limit goes to calls that free results.
+func (b *Batcher) callsAtOnce(name string, batch *catalog.Batch, slowdown float64) float64 {
+	calls := float64(batch.MaxCalls) / slowdown
+	if rate, limited := b.limits.Rate(name); limited {
+		full := batch.CallOverhead + time.Duration(batch.MaxPieces)*batch.PieceTime
+		calls = min(calls, rate/2*full.Seconds())
+	}
+	return calls
+}
+
 // pauseLeft returns the time until the first of the endpoints may get a call, if all of
 // them asked for a pause; zero if one may get a call now.
 func (b *Batcher) pauseLeft(endpoints []*registry.Endpoint, now time.Time) time.Duration {
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -15,12 +15,15 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/permit"
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
+	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 	"github.com/jacinthstile/jacinthstile/internal/stage/retries"
@@ -45,13 +48,18 @@
 	Prompt  []request.PromptPart
 	Tried   []string // names of engines that failed the request
 	MayTry  bool     // whether the request may be a trial of prompt parts that are held back
+	Rank    int      // scheduling priority; zero is the most urgent
+	Goal    time.Time
+	// Deadline is the time after which no engine can answer the request.
+	Deadline time.Time
 }
 
 // Prepared is the result of an order.
 type Prepared struct {
-	Handles []string // handles of the results that the request reads
-	Engine  string   // name of the chosen engine's endpoint; empty if none was found
-	Trial   bool     // the prompt has parts that are held back; the request must not be repeated
+	Handles   []string // handles of the results that the request reads
+	Engine    string   // name of the chosen engine's endpoint; empty if none was found
+	Permitted bool     // the request was taken from the limit that the engine has for all instances
+	Trial     bool     // the prompt has parts that are held back; the request must not be repeated
 }
 
 // Coordinator runs the stages of orders and chooses their engines. It is safe for
@@ -60,6 +68,8 @@
 	batcher    *batcher.Batcher
 	selector   *cacheaware.Selector
 	quarantine *quarantine.Quarantine
+	limits     *ratelimit.Tracker
+	permits    *permit.Queue
 	catalog    func() *catalog.Catalog
 	endpoints  func() *registry.Index
 	log        logr.Logger
@@ -69,11 +79,14 @@
 	orders  map[string]*openOrder // by id
 }
 
-// New returns a Coordinator. The functions currentCatalog and currentEndpoints are
-// called for each order; currentCatalog returns nil while there is no catalog.
-func New(b *batcher.Batcher, selector *cacheaware.Selector, q *quarantine.Quarantine, currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, log logr.Logger) *Coordinator {
+// New returns a Coordinator. It takes requests from limits, and no request for endpoints in one
+// of the pauses. The functions currentCatalog and currentEndpoints are called for each order;
+// currentCatalog returns nil while there is no catalog.
+func New(b *batcher.Batcher, selector *cacheaware.Selector, q *quarantine.Quarantine, limits *ratelimit.Tracker, pauses *cooldown.Tracker,
+	currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, log logr.Logger,
+) *Coordinator {
 	return &Coordinator{
-		batcher: b, selector: selector, quarantine: q, catalog: currentCatalog, endpoints: currentEndpoints, log: log, retries: retries.New(),
+		batcher: b, selector: selector, quarantine: q, limits: limits, permits: permit.New(limits, pauses), catalog: currentCatalog, endpoints: currentEndpoints, log: log, retries: retries.New(),
 		orders: make(map[string]*openOrder),
 	}
 }
@@ -91,6 +104,11 @@
 		return Prepared{}, err
 	}
 	defer c.endWaiting(open)
+	release, err := c.reserve(o, now)
+	if err != nil {
+		return Prepared{}, err
+	}
+	defer release()
 	var results []job.Result
 	if o.Job != nil {
 		if results, err = c.runStages(ctx, o); err != nil {
@@ -100,7 +118,11 @@
 	if !open.trial && c.quarantine.Holds(o.Prompt) {
 		return Prepared{}, heldFault()
 	}
-	prepared := c.chooseEngine(o, results)
+	release()
+	prepared, err := c.chooseEngine(ctx, o, results)
+	if err != nil {
+		return Prepared{}, heldOr(ctx, err)
+	}
 	prepared.Trial = open.trial
 	return prepared, nil
 }
@@ -152,18 +174,18 @@
 
 // chooseEngine returns the handles of the results, and the engine whose cost for
 // the request is the lowest. The engine is empty if none is wanted, the service
-// has no usable one or there is no catalog yet.
-func (c *Coordinator) chooseEngine(o Order, results []job.Result) Prepared {
+// has no usable one or there is no catalog yet. While all engines limit their requests it
+// waits for the turn of this one.
+func (c *Coordinator) chooseEngine(ctx context.Context, o Order, results []job.Result) (Prepared, error) {
 	r := Prepared{Handles: handles(results)}
 	cat := c.catalog()
 	if cat == nil {
-		return r
+		return r, nil
 	}
 	s := cat.Services[o.Service]
 	if s == nil || s.Engine == nil {
-		return r
+		return r, nil
 	}
-	index := c.endpoints()
 	req := cacheaware.Request{ID: o.ID, Prompt: o.Prompt, Inputs: make(map[string]int64), Tried: make(map[string]bool)}
 	for _, name := range o.Tried {
 		req.Tried[name] = true
@@ -171,11 +193,11 @@
 	for _, result := range results {
 		req.Inputs[result.Centre] += result.Bytes
 	}
-	choice := c.selector.Assign(req, index.Accepting(o.Service), s.Engine.Tokens, time.Now())
-	if choice.Engine == nil {
-		return r
+	choice, permitted, err := c.assign(ctx, o, req, s.Engine.Tokens)
+	if err != nil || choice.Engine == nil {
+		return r, err
 	}
-	r.Engine = choice.Engine.Name()
+	r.Engine, r.Permitted = choice.Engine.Name(), permitted
 	var remoteBytes int64
 	for centre, bytes := range req.Inputs {
 		if centre != choice.Engine.Centre {
@@ -183,8 +205,8 @@
 		}
 	}
 	c.log.Info("engine chosen", "request", o.Request, "engine", choice.Engine.ID, "unread", choice.UncachedTokens, "total", choice.PromptTokens,
-		"pending", choice.PendingTokens, "running", choice.Running, "cost", int(choice.Cost), "far", remoteBytes)
-	return r
+		"pending", choice.PendingTokens, "running", choice.Running, "cost", int(choice.Cost), "far", remoteBytes, "permitted", permitted)
+	return r, nil
 }
 
 // setTimes moves the goal and the deadline of an order's job from the first event
@@ -194,7 +216,8 @@
 	firstEvent := defaultFirstEvent
 	if cat := c.catalog(); cat != nil && cat.Services[o.Service] != nil && cat.Services[o.Service].Engine != nil {
 		req := cacheaware.Request{ID: o.ID, Prompt: o.Prompt}
-		choice := c.selector.Preview(req, c.endpoints().Accepting(o.Service), cat.Services[o.Service].Engine.Tokens, time.Now())
+		now := time.Now()
+		choice := c.selector.Preview(req, c.withRoom(c.endpoints().Accepting(o.Service), now), cat.Services[o.Service].Engine.Tokens, now)
 		if choice.Engine != nil {
 			firstEvent = choice.FirstEvent + networkDelay
 			o.Job.OutputCentre = choice.Engine.Centre
--- a/internal/stage/coordinator/coordinator_test.go
+++ b/internal/stage/coordinator/coordinator_test.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
@@ -64,8 +65,8 @@
 		cat := &catalog.Catalog{Services: map[string]*catalog.Service{"s": {Batch: &catalog.Batch{MaxPieces: 10, MaxCalls: 1}}}}
 		catalogNow := func() *catalog.Catalog { return cat }
 		endpointsNow := func() *registry.Index { return registry.NewIndex(nil) }
-		b := batcher.New(catalogNow, endpointsNow, failingExecutor{}, cooldown.New(), log)
-		c := coordinator.New(b, cacheaware.New(), quarantine.New(), catalogNow, endpointsNow, log)
+		b := batcher.New(catalogNow, endpointsNow, failingExecutor{}, cooldown.New(), ratelimit.New(), log)
+		c := coordinator.New(b, cacheaware.New(), quarantine.New(), ratelimit.New(), cooldown.New(), catalogNow, endpointsNow, log)
 		refuse := func(o coordinator.Order) {
 			_, err := c.Prepare(t.Context(), o)
 			var refusal *fault.Fault
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -27,8 +28,10 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
+	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
+	"github.com/jacinthstile/jacinthstile/internal/stage/fleetsize"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 	"github.com/jacinthstile/jacinthstile/internal/stage/storelag"
 )
@@ -51,9 +54,12 @@
 	history          *history.History
 	notices          *notice.Recorder
 	quarantine       *quarantine.Quarantine
+	limits           *ratelimit.Tracker
+	fleet            *fleetsize.Counter
 	log              logr.Logger
 
-	polling sync.Map // addresses whose poll is in flight
+	polling sync.Map     // addresses whose poll is in flight
+	heard   atomic.Int64 // when another instance first answered a poll, in Unix nanoseconds; zero if none has
 
 	mu           sync.Mutex
 	leader       string
@@ -75,6 +81,7 @@
 	History          *history.History      // latest changes of the store, for peers that know an older position
 	Notices          *notice.Recorder      // endpoints that said that they leave
 	Quarantine       *quarantine.Quarantine
+	Limits           *ratelimit.Tracker // receives the part of each limit that this instance shares out
 	PeerStatus       *peerstatus.Latest // receives what peers know, and the confirmations and changes that the leader reports
 }
 
@@ -84,7 +91,8 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, fleet: fleetsize.New(),
+		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
 	f.registerHandlers()
@@ -141,7 +149,7 @@
 		return proxy.Prepared{}, err
 	}
 	return proxy.Prepared{
-		Inputs: ready.Handles, PreferredEndpoint: ready.Engine, Trial: ready.Trial,
+		Inputs: ready.Handles, PreferredEndpoint: ready.Engine, Permitted: ready.Permitted, Trial: ready.Trial,
 		Started: func() { f.local.Started([]string{o.ID}) },
 		Ended:   func() { f.local.Ended([]string{o.ID}) },
 	}, nil
@@ -149,7 +157,9 @@
 
 func newOrder(r proxy.PrepareParams, id string) coordinator.Order {
 	req := r.Request
-	o := coordinator.Order{ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried}
+	o := coordinator.Order{
+		ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried, Rank: req.SchedulingPriority(), Goal: req.Goal, Deadline: req.Deadline,
+	}
 	if req.NeedsStages() {
 		o.Job = job.New(o.ID, req.ID, req.PieceKey, req.Route.Stages, req.Pieces, req.SchedulingPriority(), req.Goal, req.Deadline)
 	}
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -95,6 +95,7 @@
 	silent     atomic.Bool // does not answer polls, for as long as it is set
 	stop       func()
 	quarantine *quarantine.Quarantine
+	limits     *ratelimit.Tracker
 }
 
 // at returns a position of the store in its first era.
@@ -148,20 +149,21 @@
 	c.started++
 	catalogNow := func() *catalog.Catalog { return c.catalog }
 	endpointsNow := func() *registry.Index { return c.index }
-	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), logr.Discard())
+	in.limits = ratelimit.New()
+	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), in.limits, logr.Discard())
 	current := freshness.New(boottime.Now)
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started}
 	in.history, in.peerStatus = history.New(), peerstatus.New()
 	in.registry = registry.New(func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
-	in.notices = notice.New(in.registry, cooldown.New(), ratelimit.New(), logr.Discard(), tally.NoopScope)
+	in.notices = notice.New(in.registry, cooldown.New(), in.limits, logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
 	in.quarantine = quarantine.New()
-	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, catalogNow, endpointsNow, logr.Discard()),
+	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, in.limits, cooldown.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
-			History: in.history, Notices: in.notices, Quarantine: in.quarantine, PeerStatus: in.peerStatus,
+			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -21,6 +21,9 @@
 	pollTimeout       = 400 * time.Millisecond
 	pingTimeout       = 150 * time.Millisecond // ends before an instance that does not answer polls counts as lost
 	settlingInterval  = 60 * time.Millisecond  // between polls while this instance settles
+	// catchUpTime is how long an instance is told all that others know, from the first answer
+	// to one of its polls. It covers the polls of several instances.
+	catchUpTime = 5 * time.Second
 	// maxSettling is how long an eligible instance waits at most to find another one
 	// to follow. It covers two polls, and the time within which a store that has recovered
 	// answers all instances.
@@ -51,6 +54,7 @@
 		if f.updateLeader(now) {
 			f.tellLosses(f.election.Leader(now), now)
 		}
+		f.updateShare(now)
 		f.judge()
 		if !settling {
 			f.markSettled()
@@ -109,6 +113,9 @@
 	}
 	f.mergeHeld(roll.Held)
 	f.notices.Learn(roll.Leaving) // before Observe, which lets a starting instance serve requests with keys
+	now := time.Now()
+	f.notices.LearnLimits(decodeLimits(roll.Limits, now))
+	f.fleet.RecordSize(int(roll.Fleet), time.Duration(roll.FleetMs)*time.Millisecond, now)
 	f.peerStatus.Observe(known)
 	if roll.Revision == 0 {
 		return 0, false
@@ -118,11 +125,25 @@
 	return at, true
 }
 
-// followsPeer reports whether this instance follows another one.
-func (f *Forwarder) followsPeer() bool {
+// starting reports whether this instance may have missed what others were told before it
+// started.
+func (f *Forwarder) starting(now time.Time) bool {
+	heard := f.heard.Load()
+	return heard == 0 || now.Sub(time.Unix(0, heard)) < catchUpTime
+}
+
+// currentLeader returns the address of the instance that this one follows; empty if it has not
+// chosen one yet.
+func (f *Forwarder) currentLeader() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader != "" && f.leader != f.self
+	return f.leader
+}
+
+// followsPeer reports whether this instance follows another one.
+func (f *Forwarder) followsPeer() bool {
+	leader := f.currentLeader()
+	return leader != "" && leader != f.self
 }
 
 // poll polls the leader and the active coordinators, and with all set the other
@@ -157,6 +178,7 @@
 	}
 	now := time.Now()
 	f.election.RecordAnswer(address, decodeRoll(roll, now), now)
+	f.heard.CompareAndSwap(0, now.UnixNano())
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
 		changes, known := decodeChanges(roll.Changes)
 		f.peerStatus.Set(peerstatus.Report{
@@ -234,7 +256,12 @@
 func (f *Forwarder) newRoll(now time.Time) *stagepb.Roll {
 	age, confirmed := f.freshness.Age() // before the status, which may be newer
 	status := f.status()
-	roll := &stagepb.Roll{Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(), Held: encodeHeld(f.quarantine.Groups(now))}
+	size, counted := f.fleet.Size(now)
+	roll := &stagepb.Roll{
+		Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(),
+		Held: encodeHeld(f.quarantine.Groups(now)), Limits: encodeLimits(f.notices.RecentLimits(), now),
+		Leader: f.currentLeader(), Fleet: uint32(size), FleetMs: uint32(counted.Milliseconds()), Starting: f.starting(now),
+	}
 	if confirmed {
 		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -23,10 +23,7 @@
 		return
 	}
 	f.log.Info("engine lost a request before its first event", "request", req.ID, "engine", engine, "parts", l.Parts)
-	f.mu.Lock()
-	leader := f.leader
-	f.mu.Unlock()
-	switch leader {
+	switch leader := f.currentLeader(); leader {
 	case "":
 	case f.self:
 		f.judgeLater()
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -116,18 +116,26 @@
 // decodeOutcome returns the answer of the coordinator to an order. An error is a
 // *fault.Fault.
 func (f *Forwarder) decodeOutcome(c *remoteCoordinator, id string, out *stagepb.Outcome) (proxy.Prepared, error) {
-	if out.Code != 0 {
-		refusal := fault.New(code.Code(out.Code), "%s", out.Reason)
-		refusal.RetryAfter = time.Duration(out.AfterMs) * time.Millisecond
-		return proxy.Prepared{}, refusal
+	if err := decodeFault(out); err != nil {
+		return proxy.Prepared{}, err
 	}
 	return proxy.Prepared{
-		Inputs: out.Handles, PreferredEndpoint: out.Engine, Trial: out.Trial,
+		Inputs: out.Handles, PreferredEndpoint: out.Engine, Permitted: out.Permitted, Trial: out.Trial,
 		Started: func() { f.report(c, []string{id}, nil) },
 		Ended:   func() { f.report(c, nil, []string{id}) },
 	}, nil
 }
 
+// decodeFault returns the fault of an outcome; nil for success.
+func decodeFault(out *stagepb.Outcome) error {
+	if out.Code == 0 {
+		return nil
+	}
+	refusal := fault.New(code.Code(out.Code), "%s", out.Reason)
+	refusal.RetryAfter = time.Duration(out.AfterMs) * time.Millisecond
+	return refusal
+}
+
 // isAlive reports whether the coordinator's process answered a ping not long ago although
 // it has not answered polls, for maxSilence at most: it is slow, but works on its orders.
 func (c *remoteCoordinator) isAlive(now time.Time) bool {
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -41,10 +41,14 @@
 		}
 		now := time.Now()
 		f.election.RecordPoll(decodeRoll(&roll, now))
+		if roll.Leader == f.self && len(roll.Candidates) > 0 {
+			f.fleet.RecordFollower(roll.Candidates[0].Address, now)
+		}
 		f.recordConfirmation(&roll, f.freshness.Now())
 		answer := f.addChanges(f.newRoll(now), positionOf(&roll))
-		if !positionOf(&roll).Known() {
-			answer.Leaving = f.notices.Known() // the peer may have started just now
+		if roll.Starting || !positionOf(&roll).Known() {
+			answer.Leaving = f.notices.Known()
+			answer.Limits = append(answer.Limits, encodeLimits(f.notices.KnownLimits(), now)...)
 		}
 		return proto.Marshal(answer)
 	})
@@ -61,6 +65,14 @@
 		ready, err := f.local.Prepare(ctx, o)
 		return proto.Marshal(encodeOutcome(ready, err))
 	})
+	f.transport.HandleCancellable(method.StagePermit, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+		var in stagepb.Permit
+		if err := proto.Unmarshal(body, &in); err != nil {
+			return nil, err
+		}
+		name, err := f.local.Permit(ctx, decodePermit(&in, time.Now()))
+		return proto.Marshal(encodeOutcome(coordinator.Prepared{Engine: name}, err))
+	})
 	f.transport.Handle(method.StageNews, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.News
 		if err := proto.Unmarshal(body, &in); err != nil {
@@ -101,7 +113,11 @@
 // refuses an order with a stage that depends on itself or a later one, or with more
 // than maxStages stages or maxPieces pieces.
 func decodeOrder(in *stagepb.Order, now time.Time) (coordinator.Order, error) {
-	o := coordinator.Order{ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried}
+	goal := now.Add(clamp(time.Duration(in.GoalMs) * time.Millisecond))
+	deadline := now.Add(clamp(time.Duration(in.DeadlineMs) * time.Millisecond))
+	o := coordinator.Order{
+		ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried, Rank: int(in.Rank), Goal: goal, Deadline: deadline,
+	}
 	for _, p := range in.Prompt {
 		o.Prompt = append(o.Prompt, request.PromptPart{ID: p.Id, Tokens: int(p.Tokens)})
 	}
@@ -127,8 +143,6 @@
 			return coordinator.Order{}, fmt.Errorf("order %s: got more than %d pieces", in.Id, maxPieces)
 		}
 	}
-	goal := now.Add(clamp(time.Duration(in.GoalMs) * time.Millisecond))
-	deadline := now.Add(clamp(time.Duration(in.DeadlineMs) * time.Millisecond))
 	o.Job = job.New(in.Id, in.Request, in.Key, stages, pieces, int(in.Rank), goal, deadline)
 	return o, nil
 }
@@ -143,5 +157,5 @@
 		refusal := fault.From(err)
 		return &stagepb.Outcome{Code: uint32(refusal.Code), Reason: refusal.Detail, AfterMs: uint32(refusal.RetryAfter.Milliseconds())}
 	}
-	return &stagepb.Outcome{Handles: r.Handles, Engine: r.Engine, Trial: r.Trial}
+	return &stagepb.Outcome{Handles: r.Handles, Engine: r.Engine, Permitted: r.Permitted, Trial: r.Trial}
 }
