--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -18,10 +18,10 @@
 	maxTrials = 64
 )
 
-// Group is a verdict: parts of prompts that are held back if they come together, or that
+// Group is a verdict: features of requests that are held back if they come together, or that
 // were. Instances agree on the newest term of each group.
 type Group struct {
-	Parts  []string      // sorted
+	Parts  []string      // sorted; one that begins with requestPrefix stands for a whole request
 	Term   uint32        // rises with each change; odd while the parts are held back
 	Trials []string      // ids of the trials in this term
 	Idle   time.Duration // since a request with the parts last came; all instances forget the group in the end
@@ -42,7 +42,13 @@
 	return !slices.ContainsFunc(g.Parts, func(p string) bool { return !slices.Contains(parts, p) })
 }
 
+// isWhole reports whether the group is about a request as a whole.
+func (g *group) isWhole() bool { return slices.ContainsFunc(g.Parts, isWhole) }
+
 func (g *group) trialDue(now time.Time) bool {
+	if g.isWhole() {
+		return len(g.Trials) < len(wholeTrialDelays) && now.Sub(g.changed) >= wholeTrialDelays[len(g.Trials)]
+	}
 	return now.Sub(g.changed) >= trialDelays[min(len(g.Trials), len(trialDelays)-1)]
 }
 
@@ -76,16 +82,25 @@
 	}
 	g := &group{Group: Group{Parts: parts}}
 	q.groups[keyOf(parts)] = g
+	q.updateKept()
 	return g
 }
 
 // dropUnused drops the groups that no request has had for a long time. The caller holds the lock.
 func (q *Quarantine) dropUnused(now time.Time) {
 	for key, g := range q.groups {
-		if now.Sub(g.lastRequested) > retention {
+		if now.Sub(g.lastRequested) > g.retention() {
 			delete(q.groups, key)
 		}
 	}
+	q.updateKept()
+}
+
+func (g *group) retention() time.Duration {
+	if g.isWhole() {
+		return wholeRetention
+	}
+	return retention
 }
 
 // Groups returns all groups, held and released ones, to tell them to other instances.
@@ -113,7 +128,7 @@
 	q.dropUnused(now)
 	var newer []Group
 	for _, in := range list {
-		if !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials || in.Idle > retention {
+		if len(in.Parts) == 0 || !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials || in.Idle > wholeRetention {
 			continue
 		}
 		key := keyOf(in.Parts)
--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -16,7 +16,8 @@
 	minPrompts = 2 // different prompts among these requests
 	// certainCrashes is the number at which a part is held back also if an answer with it
 	// has begun before, if repeats of one prompt caused all of them, or if other parts are as
-	// likely to be the cause.
+	// likely to be the cause. For a whole request minCrashes are enough: equal requests are
+	// rare, and sound ones among them are answered between the crashes.
 	certainCrashes = 5
 	// learningTime is how long a coordinator learns which parts are sound before fewer
 	// crashes than certainCrashes are enough to hold one back.
@@ -56,8 +57,9 @@
 func (q *Quarantine) unexplained(now time.Time) []Loss {
 	explained := make(map[string]bool)
 	for _, l := range q.losses {
+		features := append([]string{wholeOf(l.Fingerprint)}, l.Parts...)
 		for _, g := range q.groups {
-			explained[l.Engine] = explained[l.Engine] || g.Held() && g.within(l.Parts)
+			explained[l.Engine] = explained[l.Engine] || g.Held() && g.within(features)
 		}
 	}
 	var list []Loss
@@ -70,7 +72,7 @@
 	return list
 }
 
-// record is the evidence against one part.
+// record is the evidence against one feature.
 type record struct {
 	part    string
 	sound   bool            // whether an answer with it has begun before, or may have
@@ -82,6 +84,9 @@
 func (r *record) strength() int { return len(r.prompts)*maxLosses + len(r.engines) }
 
 func (r *record) isSufficient() bool {
+	if isWhole(r.part) {
+		return len(r.engines) >= minCrashes
+	}
 	return len(r.engines) >= certainCrashes || len(r.engines) >= minCrashes && len(r.prompts) >= minPrompts && !r.sound
 }
 
@@ -102,7 +107,7 @@
 				others = append(others, r)
 			}
 		}
-		if len(others) > 0 && len(first.engines) < certainCrashes {
+		if len(others) > 0 && len(first.engines) < certainCrashes && !isWhole(first.part) {
 			return nil, nil
 		}
 		groups, best = append(groups, parts), others
@@ -117,7 +122,7 @@
 		for _, p := range l.Parts {
 			r := records[p]
 			if r == nil {
-				r = &record{part: p, sound: learning || q.begun.Contains(xxhash.Sum64String(p)), engines: make(map[string]bool), prompts: make(map[uint64]bool)}
+				r = &record{part: p, sound: learning && !isWhole(p) || q.begun.Contains(xxhash.Sum64String(p)), engines: make(map[string]bool), prompts: make(map[uint64]bool)}
 				records[p] = r
 			}
 			r.engines[l.Engine], r.prompts[l.Prompt] = true, true
--- a/internal/admission/quarantine/loss.go
+++ b/internal/admission/quarantine/loss.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 )
 
 const (
@@ -21,37 +19,38 @@
 	begunWindow = 1500 * time.Millisecond
 )
 
-// Loss is a request that an engine lost before the first event of its answer.
+// Loss is a request that an endpoint lost while it ran it.
 type Loss struct {
-	Engine string    // name of the engine's process
-	Prompt uint64    // hash of the whole prompt, which is the same for repeats of a request
-	Parts  []string  // ids of the parts of the prompt, without the last one
-	At     time.Time // when the loss was noticed
+	Engine      string    // name of the endpoint's process
+	Prompt      uint64    // hash of the whole prompt, or of a request without one
+	Parts       []string  // ids of the parts of the prompt, without the last one; none if the answer had begun
+	Fingerprint uint64    // of the request; zero if not known
+	Crashed     bool      // whether the process is known to have ended
+	At          time.Time // when the loss was noticed
 }
 
-// NewLoss returns the loss of a request with a prompt by an engine.
-func NewLoss(engine string, prompt []request.PromptPart, at time.Time) Loss {
-	h := xxhash.New()
-	for _, p := range prompt {
-		if _, err := h.WriteString(p.ID + ","); err != nil {
-			panic("quarantine: hashing a prompt part: " + err.Error())
-		}
+// NewLoss returns the loss of a request by an endpoint. If its answer had begun, it says
+// nothing about the parts of the prompt.
+func NewLoss(endpoint string, s Subject, begun, crashed bool, at time.Time) Loss {
+	l := Loss{Engine: endpoint, Prompt: s.promptHash(), Fingerprint: s.Fingerprint, Crashed: crashed, At: at}
+	if begun {
+		return l
 	}
-	parts := sharedParts(prompt)
-	for i, p := range parts {
-		parts[i] = strings.Clone(p) // not a part of a longer header
+	l.Parts = sharedParts(s.Prompt)
+	for i, p := range l.Parts {
+		l.Parts[i] = strings.Clone(p) // not a part of a longer header
 	}
-	return Loss{Engine: engine, Prompt: h.Sum64(), Parts: parts, At: at}
+	return l
 }
 
 // validParts reports whether parts are within the limits of what is kept.
 func validParts(parts []string) bool {
-	return len(parts) > 0 && len(parts) <= maxLossParts && !slices.ContainsFunc(parts, func(p string) bool { return len(p) > maxPartBytes })
+	return len(parts) <= maxLossParts && !slices.ContainsFunc(parts, func(p string) bool { return len(p) > maxPartBytes })
 }
 
 // RecordLoss keeps a loss as evidence, and reports whether it is new and within the limits.
 func (q *Quarantine) RecordLoss(l Loss) bool {
-	if l.Engine == "" || !validParts(l.Parts) {
+	if l.Engine == "" || !validParts(l.Parts) || len(l.Parts) == 0 && !(l.Crashed && l.Fingerprint != 0) {
 		return false
 	}
 	q.mu.Lock()
@@ -72,16 +71,17 @@
 	return slices.Clone(q.losses)
 }
 
-// prune drops the losses that are too old, whose parts have all been cleared, or that are
+// prune drops the losses that are too old, whose features have all been cleared, or that are
 // too many. The caller holds the lock.
 func (q *Quarantine) prune(now time.Time) {
 	q.losses = slices.DeleteFunc(q.losses, func(l Loss) bool { return now.Sub(l.At) > retention || len(q.suspects(l)) == 0 })
 	if extra := len(q.losses) - maxLosses; extra > 0 {
 		q.losses = slices.Delete(q.losses, 0, extra)
 	}
+	q.updateKept()
 }
 
-// suspects returns the parts of a loss that have not been cleared. The caller holds the lock.
+// suspects returns the features of a loss that have not been cleared. The caller holds the lock.
 func (q *Quarantine) suspects(l Loss) []string {
 	var list []string
 	for _, p := range l.Parts {
@@ -89,5 +89,8 @@
 			list = append(list, p)
 		}
 	}
+	if q.countsForWhole(l) {
+		list = append(list, wholeOf(l.Fingerprint))
+	}
 	return list
 }
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -1,16 +1,20 @@
-// Package quarantine holds back requests whose prompt has a part that crashes engines.
+// Package quarantine holds back requests that crash endpoints: those whose prompt has a part
+// that crashes engines, and those that crash each endpoint as a whole.
 //
-// An engine that crashes ends all requests that it runs, so each of those whose answer had
-// not begun is only suspected of the cause. A part of a prompt is held back if it is common
-// to the requests that several engines lost, and no answer to a request with it has begun
-// since shortly before. The last part of a prompt is the request's own and never the cause.
+// An endpoint that crashes ends all requests that it runs, so each of them is only suspected of
+// the cause. A request has features: the parts of its prompt, and itself as a whole, which is
+// the same for equal requests. A feature is held back if it is common to the requests that
+// several endpoints lost, and nothing cleared it: a part is cleared by an answer that begins,
+// shortly before or since, and a request by a complete answer to an equal one since. The last
+// part of a prompt is the request's own and never the cause.
 //
-// It answers requests with such a part that come at all instances, a few a second, no two
-// alike, between sound ones that share their other parts. Each instance records the losses
-// that it sees and tells them to the coordinator, which judges; the verdicts reach all
-// instances, so that they outlast the coordinator. A verdict ends when an answer begins in
-// spite of it: a few trial sends, far apart, find a part that has become sound, and a
-// verdict that was wrong. Callers pass the time in; the package does no I/O.
+// It answers requests that come at all instances, a few a second, between sound ones: no two
+// alike, with a part that crashes engines, or all alike, of any kind, also while their pieces are
+// executed. Each instance records the losses that it sees and tells them to the coordinator,
+// which judges; the verdicts reach all instances, so that they outlast the coordinator. A verdict
+// ends when a request is answered in spite of it: a few trial sends, far apart, find a feature
+// that has become sound, and a verdict that was wrong. Callers pass the time in; the package does
+// no I/O.
 package quarantine
 
 // This file defines Quarantine, and what decides whether a request is sent.
@@ -20,23 +24,28 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-
-	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 )
 
 const (
-	maxParts = 4096 // parts whose last begun answer is remembered
+	maxParts = 4096 // features whose last answer is remembered
 	// retention is how long losses are remembered, and groups whose parts no request has.
 	retention = 10 * time.Minute
+	// wholeRetention is retention for requests that are held back as a whole.
+	wholeRetention = time.Hour
 )
 
 // trialDelays are the times from the verdict, or from the trial before, to the next trial.
 // The last one repeats.
 var trialDelays = [...]time.Duration{5 * time.Second, 30 * time.Second, 5 * time.Minute, time.Hour}
 
+// wholeTrialDelays are trialDelays for requests that are held back as a whole. There are no
+// further trials: endpoints bear three sends in all.
+var wholeTrialDelays = [...]time.Duration{5 * time.Second, 5 * time.Minute}
+
 // Decision says what happens to a request.
 type Decision int
 
@@ -60,10 +69,14 @@
 // Quarantine records losses and begun answers, and holds the verdicts. It is safe for
 // concurrent use.
 type Quarantine struct {
+	kept atomic.Int64 // number of losses, groups and told suspects, which spares the lock while there are none
+
 	mu     sync.Mutex
-	begun  *simplelru.LRU[uint64, time.Time] // when an answer to a request with the part last began, by hash of the part
+	begun  *simplelru.LRU[uint64, time.Time] // when a feature was last cleared, by its hash: an answer began, for a whole request ended
 	losses []Loss                            // oldest first
 	groups map[string]*group                 // by key; held and released ones
+	told   []Suspect                         // by the coordinator
+	toldAt time.Time
 }
 
 // New returns a quarantine without losses and verdicts.
@@ -78,8 +91,8 @@
 // RecordBegun records that the answer to a request has begun, and returns the groups that
 // this changes. It releases those whose parts the request has. If it has only some of them,
 // the other parts are the cause, and are held back alone.
-func (q *Quarantine) RecordBegun(prompt []request.PromptPart, now time.Time) []Group {
-	parts := sharedParts(prompt)
+func (q *Quarantine) RecordBegun(s Subject, now time.Time) []Group {
+	parts := sharedParts(s.Prompt)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.markSound(parts, now)
@@ -106,22 +119,30 @@
 	return changed
 }
 
-// Holds reports whether a request with the prompt is held back.
-func (q *Quarantine) Holds(prompt []request.PromptPart) bool {
+// Empty reports whether nothing is known of any crash.
+func (q *Quarantine) Empty() bool { return q.kept.Load() == 0 }
+
+// Holds reports whether a request is held back, and whether that is as a whole, and not for a
+// part of its prompt.
+func (q *Quarantine) Holds(s Subject) (held, whole bool) {
+	if q.kept.Load() == 0 {
+		return false, false
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.holding(prompt)) > 0
+	list := q.holding(s)
+	return len(list) > 0, slices.ContainsFunc(list, (*group).isWhole)
 }
 
-// holding returns the held groups that the prompt has. The caller holds the lock.
-func (q *Quarantine) holding(prompt []request.PromptPart) []*group {
+// holding returns the held groups that the request has. The caller holds the lock.
+func (q *Quarantine) holding(s Subject) []*group {
 	if len(q.groups) == 0 {
 		return nil
 	}
-	parts := sharedParts(prompt)
+	features := s.features()
 	var list []*group
 	for _, g := range q.groups {
-		if g.Held() && g.within(parts) {
+		if g.Held() && g.within(features) {
 			list = append(list, g)
 		}
 	}
@@ -131,10 +152,10 @@
 // Admit decides whether a request is sent, under an id that its trial would be known by.
 // Only the coordinator calls it, and mayTry says whether it has contact with the other
 // instances, so that no two instances make the same trial.
-func (q *Quarantine) Admit(prompt []request.PromptPart, id string, mayTry bool, now time.Time) Decision {
+func (q *Quarantine) Admit(s Subject, id string, mayTry bool, now time.Time) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	list := q.holding(prompt)
+	list := q.holding(s)
 	if len(list) == 0 {
 		return Admitted
 	}
@@ -157,16 +178,5 @@
 	return Trial
 }
 
-// sharedParts returns the ids of the parts of a prompt without the last one.
-func sharedParts(prompt []request.PromptPart) []string {
-	if len(prompt) < 2 {
-		return nil
-	}
-	parts := make([]string, 0, len(prompt)-1)
-	for _, p := range prompt[:len(prompt)-1] {
-		if !slices.Contains(parts, p.ID) {
-			parts = append(parts, p.ID)
-		}
-	}
-	return parts
-}
+// updateKept counts what is kept. The caller holds the lock.
+func (q *Quarantine) updateKept() { q.kept.Store(int64(len(q.losses) + len(q.groups) + len(q.told))) }
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -13,13 +13,19 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 )
 
-// prompt returns a prompt with the given parts, separated by spaces.
-func prompt(parts string) []request.PromptPart {
-	var list []request.PromptPart
+// prompt returns a request whose prompt has the given parts, separated by spaces. A part
+// that begins with "=" stands for the request as a whole instead, which is not known
+// otherwise.
+func prompt(parts string) quarantine.Subject {
+	var s quarantine.Subject
 	for _, id := range strings.Fields(parts) {
-		list = append(list, request.PromptPart{ID: id, Tokens: 100})
+		if name, ok := strings.CutPrefix(id, "="); ok {
+			s.Fingerprint = uint64(name[0])
+			continue
+		}
+		s.Prompt = append(s.Prompt, request.PromptPart{ID: id, Tokens: 100})
 	}
-	return list
+	return s
 }
 
 var start = time.Unix(1000, 0) // ten seconds before any loss
@@ -32,13 +38,17 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-// step is a loss of a request by an engine, or an answer that began if engine is empty.
+// step is a loss of a request by an engine, or an answer if engine is empty: one that ended if
+// the request is known as a whole, else one that began.
 type step struct {
 	seconds float64
 	engine  string
 	parts   string
 }
 
+// whole returns the feature of the request that is known by a character.
+func whole(name byte) string { return fmt.Sprintf("request:%016x", name) }
+
 // held returns the groups that are held back, as a text.
 func held(q *quarantine.Quarantine) string {
 	var list []string
@@ -50,6 +60,12 @@
 	return strings.Join(list, " ")
 }
 
+// holds reports whether a request is held back.
+func holds(q *quarantine.Quarantine, parts string) bool {
+	held, _ := q.Holds(prompt(parts))
+	return held
+}
+
 // TestVerdicts guards against a part that crashes engines and is not held back, and against
 // holding back sound ones. Each case lists losses and answers that began; D and E crash.
 func TestVerdicts(t *testing.T) {
@@ -98,16 +114,44 @@
 			{11.4, "e5", "A D o1"}, {11.6, "e6", "A D o6"}, {11.6, "", "A o5"},
 		}, "D"},
 		{"a sound part in few crashes", []step{{9, "", "A B o0"}, {15, "e1", "A B o1"}, {16, "e2", "A B o2"}, {17, "e3", "A B o3"}, {17, "", "A o5"}}, ""},
+		{"equal requests, two crashes", []step{{10, "e1", "=D"}, {11, "e2", "=D"}}, ""},
+		{"equal requests, three crashes", []step{{10, "e1", "=D"}, {11, "e2", "=D"}, {12, "e3", "=D"}}, whole('D')},
+		{"three at once, before anything is known of other requests", []step{{2, "e1", "=D"}, {2.1, "e2", "=D"}, {2.2, "e3", "=D"}}, whole('D')},
+		{"equal requests, far apart", []step{{10, "e1", "=D"}, {150, "e2", "=D"}, {400, "e3", "=D"}}, whole('D')},
+		{"repeats at one endpoint", []step{{10, "e1", "=D"}, {10, "e1", "=D"}, {10.1, "e1", "=D"}}, ""},
+		{"an equal request was answered between", []step{{10, "e1", "=D"}, {11, "e2", "=D"}, {11.5, "", "=D"}, {12, "e3", "=D"}}, ""},
+		{"an equal request was answered before", []step{{9.9, "", "=D"}, {10, "e1", "=D"}, {11, "e2", "=D"}, {12, "e3", "=D"}}, whole('D')},
+		{"sound requests die with it, and are answered", []step{
+			{10, "e1", "=D"}, {10, "e1", "=S"}, {10.5, "", "=S"}, {11, "e2", "=D"}, {11, "e2", "=S"}, {11.5, "", "=S"}, {12, "e3", "=D"}, {12, "e3", "=S"}, {12.1, "", "=S"},
+		}, whole('D')},
+		{"a sound request dies with it three times", []step{
+			{10, "e1", "=D"}, {10, "e1", "=S"}, {11, "e2", "=D"}, {11, "e2", "=S"}, {12, "e3", "=D"}, {12, "e3", "=S"},
+		}, whole('D') + " " + whole('S')},
+		{"a sound request dies with it twice", []step{
+			{10, "e1", "=D"}, {10, "e1", "=S"}, {11, "e2", "=D"}, {11, "e2", "=S"}, {12, "e3", "=D"}, {13, "e4", "=T"}, {14, "e5", "=T"},
+		}, whole('D')},
+		{"two requests at once", []step{
+			{10, "e1", "=D"}, {10.1, "e2", "=E"}, {11, "e3", "=D"}, {11.1, "e4", "=E"}, {12, "e5", "=D"}, {12.1, "e6", "=E"},
+		}, whole('D') + " " + whole('E')},
+		{"streams that share sound parts", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A B o1 =D"}, {10, "e1", "A C o2 =S"}, {10.9, "", "A C o3"}, {11, "e2", "A B o1 =D"}, {11.9, "", "A C o3"}, {12, "e3", "A B o1 =D"},
+		}, whole('D')},
+		{"a part and a request at once", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {10.1, "e2", "=E"}, {11, "e3", "A D o2 =2"}, {11.1, "e4", "=E"}, {11.1, "", "A o0"}, {12, "e5", "A D o3 =3"}, {12.1, "e6", "=E"}, {12.2, "", "A o0"},
+		}, "D " + whole('E')},
 		{"the last part", []step{{9.9, "", "A o"}, {10, "e1", "A o1"}, {11, "e2", "A o1"}, {12, "e3", "A o1"}, {12.1, "", "A o9"}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			q := quarantine.New()
 			for _, s := range c.steps {
 				q.Judge(start, at(s.seconds))
-				if s.engine == "" {
-					q.RecordBegun(prompt(s.parts), at(s.seconds))
-				} else {
-					q.RecordLoss(quarantine.NewLoss(s.engine, prompt(s.parts), at(s.seconds)))
+				switch subject := prompt(s.parts); {
+				case s.engine == "" && subject.Fingerprint != 0:
+					q.RecordCompleted(subject.Fingerprint, at(s.seconds))
+				case s.engine == "":
+					q.RecordBegun(subject, at(s.seconds))
+				default:
+					q.RecordLoss(quarantine.NewLoss(s.engine, prompt(s.parts), false, true, at(s.seconds)))
 				}
 			}
 			q.Judge(start, at(c.steps[len(c.steps)-1].seconds+settle))
@@ -122,7 +166,7 @@
 	q := quarantine.New()
 	q.RecordBegun(prompt("A o0"), at(9.9))
 	for i := range 3 {
-		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), at(10+float64(i))))
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), false, true, at(10+float64(i))))
 		q.RecordBegun(prompt("A o9"), at(10+float64(i)))
 	}
 	g.Expect(q.Judge(start, at(12+settle))).To(HaveLen(1))
@@ -142,7 +186,7 @@
 		switch d := q.Admit(prompt("A D o1"), fmt.Sprint("t", s), true, at(s)); d {
 		case quarantine.Trial:
 			trials++
-			q.RecordLoss(quarantine.NewLoss(fmt.Sprint("n", s), prompt("A D o1"), at(s)))
+			q.RecordLoss(quarantine.NewLoss(fmt.Sprint("n", s), prompt("A D o1"), false, true, at(s)))
 			g.Expect(q.Judge(start, at(s+settle))).To(BeEmpty(), "the verdict explains the crash")
 		case quarantine.Held:
 		default:
@@ -162,12 +206,12 @@
 	g := NewWithT(t)
 	first, second := holdingD(g), quarantine.New()
 	trials := 0
-	for s := 13.0; first.Holds(prompt("A D o1")); s += 300 {
+	for s := 13.0; holds(first, "A D o1"); s += 300 {
 		if first.Admit(prompt("A D o1"), fmt.Sprint(s), true, at(s)) == quarantine.Trial {
 			trials++
 		}
 		second.Merge(first.Groups(at(s)), at(s))
-		g.Expect(second.Holds(prompt("A D o1"))).To(Equal(first.Holds(prompt("A D o1"))), "after %d trials", trials)
+		g.Expect(holds(second, "A D o1")).To(Equal(holds(first, "A D o1")), "after %d trials", trials)
 		g.Expect(trials).To(BeNumerically("<", 100))
 	}
 	g.Expect(trials).To(Equal(65))
@@ -179,7 +223,7 @@
 	g := NewWithT(t)
 	q := quarantine.New()
 	for i := range 3 {
-		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("X D o", i)), at(10)))
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("X D o", i)), false, true, at(10)))
 	}
 	q.Judge(start, at(10+settle))
 	g.Expect(held(q)).To(Equal("D+X"))
@@ -187,7 +231,7 @@
 	g.Expect(q.Admit(prompt("X D o1"), "t1", true, at(17))).To(Equal(quarantine.Trial))
 	q.RecordBegun(prompt("X B o1"), at(17.1))
 	g.Expect(held(q)).To(Equal("D"))
-	g.Expect(q.Holds(prompt("C D o2"))).To(BeTrue())
+	g.Expect(holds(q, "C D o2")).To(BeTrue())
 	g.Expect(q.Admit(prompt("C D o2"), "t2", true, at(25))).To(Equal(quarantine.Held), "the trial of both parts counts")
 }
 
@@ -201,13 +245,13 @@
 		first.Merge(second.Groups(at(s)), at(s))
 	}
 	exchange(13)
-	g.Expect(second.Holds(prompt("A D o7"))).To(BeTrue(), "an instance that has just started")
+	g.Expect(holds(second, "A D o7")).To(BeTrue(), "an instance that has just started")
 	g.Expect(first.Admit(prompt("A D o7"), "t1", true, at(18))).To(Equal(quarantine.Trial))
 	exchange(18)
 	g.Expect(second.Admit(prompt("A D o7"), "t2", true, at(25))).To(Equal(quarantine.Held), "the trial of the former coordinator counts")
 	second.RecordBegun(prompt("A D o7"), at(26))
 	exchange(26)
-	g.Expect(first.Holds(prompt("A D o8"))).To(BeFalse())
+	g.Expect(holds(first, "A D o8")).To(BeFalse())
 	g.Expect(first.Judge(start, at(27))).To(BeEmpty(), "the answer that began elsewhere clears the part")
 	exchange(27)
 	g.Expect(held(first) + held(second)).To(BeEmpty())
@@ -219,7 +263,7 @@
 	g := NewWithT(t)
 	follower, coordinator := quarantine.New(), quarantine.New()
 	for i := range 3 {
-		follower.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), at(10)))
+		follower.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprint("A D o", i)), false, true, at(10)))
 	}
 	for _, l := range follower.Losses(at(11)) {
 		g.Expect(coordinator.RecordLoss(l)).To(BeTrue())
@@ -245,7 +289,7 @@
 			if rng.IntN(200) == 0 {
 				engine := fmt.Sprint("e", i)
 				for range 1 + rng.IntN(6) {
-					q.RecordLoss(quarantine.NewLoss(engine, prompt(fmt.Sprintf("A%d B%d o%d", rng.IntN(4), rng.IntN(300), rng.Int())), now))
+					q.RecordLoss(quarantine.NewLoss(engine, prompt(fmt.Sprintf("A%d B%d o%d", rng.IntN(4), rng.IntN(300), rng.Int())), false, true, now))
 				}
 			} else {
 				q.RecordBegun(request, now)
@@ -271,7 +315,7 @@
 		}
 	}
 	exchange(13, 1500, true)
-	g.Expect(second.Holds(prompt("A D o1"))).To(BeTrue())
+	g.Expect(holds(second, "A D o1")).To(BeTrue())
 	exchange(1500, 2300, false)
 	g.Expect(first.Groups(at(2300))).To(BeEmpty())
 	g.Expect(second.Groups(at(2300))).To(BeEmpty())
@@ -283,7 +327,7 @@
 	q := quarantine.New()
 	for i := range 1000 {
 		q.Merge([]quarantine.Group{{Parts: []string{fmt.Sprint("p", i)}, Term: 1, Trials: make([]string, i)}}, at(1))
-		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprintf("q%d o", i)), at(1)))
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt(fmt.Sprintf("q%d o", i)), false, true, at(1)))
 	}
 	for _, parts := range [][]string{nil, {"b", "a"}, {strings.Repeat("x", 1000)}, strings.Split(strings.Repeat("a,", 1000), ",")} {
 		q.Merge([]quarantine.Group{{Parts: parts, Term: 1}}, at(1))
@@ -292,3 +336,62 @@
 	g.Expect(len(q.Groups(at(1)))).To(BeNumerically("<=", 32))
 	g.Expect(len(q.Losses(at(1)))).To(BeNumerically("<=", 256))
 }
+
+// TestWholeRequestTrials guards against more than two sends, ever, of a request that stays deadly,
+// and against one that has become sound, or was held back wrongly, and stays so for ever.
+func TestWholeRequestTrials(t *testing.T) {
+	g := NewWithT(t)
+	q := quarantine.New()
+	lose := func(name string, seconds float64) {
+		q.RecordLoss(quarantine.NewLoss(name, prompt("=D"), false, true, at(seconds)))
+	}
+	for i := range 3 {
+		lose(fmt.Sprint("e", i), 10+float64(i))
+	}
+	g.Expect(q.Judge(start, at(12.2))).To(HaveLen(1))
+	trials := 0
+	for s := 12.2; s < 3*3600; s += 0.5 {
+		g.Expect(q.Admit(prompt("=S"), "sound", true, at(s))).To(Equal(quarantine.Admitted))
+		if q.Admit(prompt("=D"), fmt.Sprint("t", s), true, at(s)) == quarantine.Trial {
+			g.Expect(s-12.2).To(BeNumerically(">=", 5), "a trial at once")
+			trials++
+			lose(fmt.Sprint("n", s), s)
+			g.Expect(q.Judge(start, at(s+settle))).To(BeEmpty(), "the verdict explains the crash")
+		}
+		if s > 12.5 && int(2*s)%40 == 0 {
+			q.Judge(start, at(s))
+		}
+	}
+	g.Expect(trials).To(Equal(2))
+	g.Expect(q.RecordCompleted(prompt("=D").Fingerprint, at(3*3600))).To(HaveLen(1))
+	g.Expect(holds(q, "=D")).To(BeFalse())
+	q.Judge(start, at(3*3600+1))
+	g.Expect(holds(q, "=D")).To(BeFalse(), "the old crashes are cleared")
+}
+
+// TestSuspects guards against instances that do not know under which requests endpoints crashed,
+// and against suspects that stay so after an answer.
+func TestSuspects(t *testing.T) {
+	g := NewWithT(t)
+	first, second := quarantine.New(), quarantine.New()
+	first.RecordLoss(quarantine.NewLoss("e1", prompt("=D"), false, true, at(10)))
+	first.RecordLoss(quarantine.NewLoss("e2", prompt("A B o =S"), true, false, at(10)))
+	suspects := first.Suspects()
+	g.Expect(suspects).To(HaveLen(1))
+	second.LearnSuspects(suspects, at(10.3))
+	for _, q := range []*quarantine.Quarantine{first, second} {
+		suspect, recent := q.IsSuspect('D', at(11))
+		g.Expect(suspect && recent).To(BeTrue())
+		g.Expect(q.HasCrashed("e1", at(11))).To(BeTrue())
+		g.Expect(q.HasCrashed("e2", at(11))).To(BeFalse(), "it lost a request only")
+	}
+	_, recent := first.IsSuspect('D', at(25))
+	g.Expect(recent).To(BeFalse())
+	suspect, _ := second.IsSuspect('D', at(25))
+	g.Expect(suspect).To(BeFalse(), "the coordinator has not told it again")
+	second.RecordCompleted('D', at(12))
+	first.RecordCompleted('D', at(12))
+	suspect, _ = first.IsSuspect('D', at(12))
+	g.Expect(suspect).To(BeFalse())
+	g.Expect(first.Empty()).To(BeTrue())
+}
--- /dev/null
+++ b/internal/admission/quarantine/suspect.go
@@ -0,0 +1,139 @@
+package quarantine
+
+// This file handles requests that crashed endpoints, but are not held back yet.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	maxSuspects = 64 // that instances tell each other; the ones with the most crashes
+	// suspectMemory is how long the suspects that the coordinator told count, if it tells none.
+	suspectMemory = 10 * time.Second
+	// recentTime is how long a crash counts as recent. Endpoints that crashed are back by then,
+	// and a sound request must not be refused for longer if its service has only one endpoint.
+	recentTime = 10 * time.Second
+)
+
+// Suspect is a request under which endpoints crashed since an equal one was last answered
+// completely.
+type Suspect struct {
+	Fingerprint uint64
+	Endpoints   []string  // names of the processes that crashed
+	Last        time.Time // when the last of these crashes was noticed
+}
+
+// Suspects returns the suspects by the losses that this instance knows.
+func (q *Quarantine) Suspects() []Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.suspectRequests()
+}
+
+// suspectRequests returns the suspects with the most crashes. The caller holds the lock.
+func (q *Quarantine) suspectRequests() []Suspect {
+	byRequest := make(map[uint64]*Suspect)
+	for _, l := range q.losses {
+		if !q.countsForWhole(l) {
+			continue
+		}
+		s := byRequest[l.Fingerprint]
+		if s == nil {
+			s = &Suspect{Fingerprint: l.Fingerprint}
+			byRequest[l.Fingerprint] = s
+		}
+		if l.At.After(s.Last) {
+			s.Last = l.At
+		}
+		if !slices.Contains(s.Endpoints, l.Engine) {
+			s.Endpoints = append(s.Endpoints, l.Engine)
+		}
+	}
+	var list []Suspect
+	for _, s := range byRequest {
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Endpoints), len(a.Endpoints)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return list[:min(maxSuspects, len(list))]
+}
+
+// LearnSuspects takes over the suspects that the coordinator tells.
+func (q *Quarantine) LearnSuspects(list []Suspect, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.told, q.toldAt = list[:min(maxSuspects, len(list))], now
+	q.updateKept()
+}
+
+// IsSuspect reports whether an endpoint is known to have crashed under a request with the
+// fingerprint since one was last answered completely, and whether that was not long ago.
+func (q *Quarantine) IsSuspect(fingerprint uint64, now time.Time) (suspect, recent bool) {
+	if q.kept.Load() == 0 || fingerprint == 0 {
+		return false, false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range q.known(now) {
+		if s.Fingerprint == fingerprint {
+			suspect, recent = true, recent || now.Sub(s.Last) < recentTime
+		}
+	}
+	return suspect, recent
+}
+
+// HasCrashed reports whether the process of an endpoint is known to have crashed.
+func (q *Quarantine) HasCrashed(name string, now time.Time) bool {
+	if q.kept.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(q.known(now), func(s Suspect) bool { return slices.Contains(s.Endpoints, name) })
+}
+
+// known returns the own suspects and those that the coordinator told. The caller holds the
+// lock.
+func (q *Quarantine) known(now time.Time) []Suspect {
+	list := q.suspectRequests()
+	if now.Sub(q.toldAt) <= suspectMemory {
+		list = append(list, q.told...)
+	}
+	return list
+}
+
+// countsForWhole reports whether a loss is evidence against the request as a whole. The
+// caller holds the lock.
+func (q *Quarantine) countsForWhole(l Loss) bool {
+	if !l.Crashed || l.Fingerprint == 0 {
+		return false
+	}
+	at, ok := q.begun.Peek(xxhash.Sum64String(wholeOf(l.Fingerprint)))
+	return !ok || !at.After(l.At)
+}
+
+// RecordCompleted records that a request was answered completely, which clears it of earlier
+// crashes, and returns the groups that this releases.
+func (q *Quarantine) RecordCompleted(fingerprint uint64, now time.Time) []Group {
+	whole := wholeOf(fingerprint)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.begun.Add(xxhash.Sum64String(whole), now)
+	q.told = slices.DeleteFunc(q.told, func(s Suspect) bool { return s.Fingerprint == fingerprint })
+	var changed []Group
+	for _, g := range slices.Collect(maps.Values(q.groups)) {
+		if g.Held() && slices.Contains(g.Parts, whole) {
+			g.Term++
+			g.Trials, g.changed = nil, now
+			changed = append(changed, g.clone())
+		}
+	}
+	q.prune(now)
+	return changed
+}
--- /dev/null
+++ b/internal/edge/connpool/crash.go
@@ -0,0 +1,39 @@
+package connpool
+
+// This file finds out whether an endpoint that lost a request has crashed.
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+)
+
+// crashCheckTimeout is how long the check waits for a connection. An endpoint that does not
+// answer by then is taken to have crashed: the caller waits for the check.
+const crashCheckTimeout = 150 * time.Millisecond
+
+// CheckCrash returns err, or a failure of kind Crashed if err is of kind Lost and the endpoint
+// takes no new connection. An endpoint that does has only lost the request; the connection is
+// kept for the next one.
+func (p *Pool) CheckCrash(ctx context.Context, name, address string, err error) error {
+	if err == nil || failure.KindOf(err) != failure.Lost || ctx.Err() != nil {
+		return err
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	raw, dialErr := p.dial(dialCtx, address)
+	if ctx.Err() != nil {
+		if dialErr == nil {
+			raw.Close()
+		}
+		return err
+	}
+	if dialErr != nil {
+		return failure.New(failure.Crashed, err, "%s takes no connection: %v", address, dialErr)
+	}
+	c := newConn(raw, name)
+	c.expiresAt = time.Now().Add(defaultIdleTimeout)
+	p.put(c)
+	return err
+}
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -132,11 +132,12 @@
 	permit   func(p proxy.PermitParams) (string, error)
 
 	quarantine *quarantine.Quarantine
-	losses     []string // names of the engines that lost requests
+	losses     []quarantine.Loss
+	listeners  map[string]net.Listener // of the endpoints, by address
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New()}
+	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), listeners: make(map[string]net.Listener)}
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
@@ -183,16 +184,25 @@
 }
 
 // RecordLoss implements proxy.Preparer.
-func (h *harness) RecordLoss(engine string, _ *request.Request) {
+func (h *harness) RecordLoss(_ string, l quarantine.Loss) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.losses = append(h.losses, engine)
+	h.losses = append(h.losses, l)
+	h.quarantine.RecordLoss(l)
+}
+
+// RecordCompleted implements proxy.Preparer.
+func (h *harness) RecordCompleted(fingerprint uint64) {
+	h.quarantine.RecordCompleted(fingerprint, time.Now())
 }
 
 func (h *harness) listen(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { l.Close() })
+	h.mu.Lock()
+	h.listeners[l.Addr().String()] = l
+	h.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -237,14 +247,17 @@
 // serveRequest serves one request on a route of the given kind, and returns the
 // response and the error.
 func (h *harness) serveRequest(kind catalog.Kind, attempts int, resume bool) (*httptest.ResponseRecorder, error) {
+	w := httptest.NewRecorder()
+	return w, h.proxy.Serve(context.Background(), newRequest(kind, attempts, resume), w)
+}
+
+func newRequest(kind catalog.Kind, attempts int, resume bool) *request.Request {
 	now := time.Now()
-	req := &request.Request{
+	return &request.Request{
 		ID: "c1", Service: "s", Method: http.MethodGet, Target: "/p/x", Host: "h", Received: now,
 		Goal: now.Add(time.Second), Deadline: now.Add(3 * time.Second),
 		Route: &catalog.Route{Kind: kind, Attempts: attempts, Resume: resume},
 	}
-	w := httptest.NewRecorder()
-	return w, h.proxy.Serve(context.Background(), req, w)
 }
 
 var errRefused = errors.New("refused")
--- a/internal/edge/proxy/held_test.go
+++ b/internal/edge/proxy/held_test.go
@@ -35,6 +35,12 @@
 	h.quarantine.Merge([]quarantine.Group{{Parts: []string{"D"}, Term: 1}}, time.Now())
 }
 
+// holds reports whether the quarantine holds back a prompt with the part.
+func (h *harness) holds(part string) bool {
+	held, _ := h.quarantine.Holds(quarantine.Subject{Prompt: []request.PromptPart{{ID: part}, {ID: "x"}}})
+	return held
+}
+
 // servePrompt serves a stream that may be resumed, whose prompt has the parts A, D and an
 // own one.
 func (h *harness) servePrompt() (*httptest.ResponseRecorder, *fault.Fault) {
@@ -100,7 +106,7 @@
 			}
 			h.servePrompt()
 			h.g.Expect(h.sent()).To(Equal(1))
-			h.g.Expect(h.quarantine.Holds([]request.PromptPart{{ID: "D"}, {ID: "x"}})).To(Equal(c.held))
+			h.g.Expect(h.holds("D")).To(Equal(c.held))
 		})
 	}
 }
@@ -114,3 +120,127 @@
 	h.g.Expect(w.Code).To(Equal(http.StatusOK))
 	h.g.Expect(h.losses).To(BeEmpty())
 }
+
+// crashEndpoint closes the endpoint of the connection: it takes no new ones.
+func (h *harness) crashEndpoint(w net.Conn, _ *http.Request) {
+	h.mu.Lock()
+	l := h.listeners[w.LocalAddr().String()]
+	h.mu.Unlock()
+	l.Close()
+	w.Close()
+}
+
+// TestCrashesUnderAllKindsAreRecorded guards against a crash under a request that is not told
+// to the coordinator, and against taking a lost answer for one: the endpoint is still there.
+func TestCrashesUnderAllKindsAreRecorded(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			h := newHarness(t, 4, nil, crash)
+			h.scripts[0] = h.crashEndpoint
+			h.serveRequest(kind, 1, false)
+			h.g.Expect(h.losses).To(HaveLen(1))
+			h.g.Expect(h.losses[0].Crashed).To(BeTrue())
+			first := h.losses[0].Fingerprint
+			h.serveRequest(kind, 1, false)
+			if kind == catalog.Stream {
+				h.g.Expect(h.losses).To(HaveLen(2))
+				h.g.Expect(h.losses[1].Crashed).To(BeFalse())
+				h.g.Expect(h.losses[1].Fingerprint).To(Equal(first), "equal requests")
+			} else {
+				h.g.Expect(h.losses).To(HaveLen(1))
+			}
+		})
+	}
+}
+
+// TestStreamThatCrashesAfterEventsIsRecorded guards against a request that crashes engines
+// once its answer has begun.
+func TestStreamThatCrashesAfterEventsIsRecorded(t *testing.T) {
+	h := newHarness(t, 4, nil)
+	h.scripts[0] = func(w net.Conn, r *http.Request) {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: x\n\n\r\n", r.Header.Get("Id"))
+		time.Sleep(50 * time.Millisecond)
+		h.crashEndpoint(w, r)
+	}
+	h.servePrompt()
+	h.g.Expect(h.losses).NotTo(BeEmpty())
+	h.g.Expect(h.losses[0].Crashed).To(BeTrue())
+	h.g.Expect(h.losses[0].Parts).To(BeEmpty(), "the answer cleared the parts of the prompt")
+}
+
+// TestHeldRequestIsNotSent guards against sending a request that is held back as a whole, of any
+// kind, and against never trying it again.
+func TestHeldRequestIsNotSent(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			answer := okResponse
+			if kind == catalog.Stream {
+				answer = streamEvents(0, 2, true)
+			}
+			h := newHarness(t, 2, answer)
+			h.holdRequest(kind)
+			h.prepare = func(proxy.PrepareParams) (proxy.Prepared, error) {
+				return proxy.Prepared{}, fault.New(code.RequestHeld, "held")
+			}
+			_, err := h.serveRequest(kind, 3, false)
+			h.g.Expect(fault.From(err).Code).To(Equal(code.RequestHeld))
+			h.g.Expect(fault.From(err).RetryAfter).To(BeZero())
+			h.g.Expect(h.sent()).To(BeZero())
+			h.prepare = func(proxy.PrepareParams) (proxy.Prepared, error) {
+				return proxy.Prepared{Trial: true, Started: func() {}, Ended: func() {}}, nil
+			}
+			w, err := h.serveRequest(kind, 3, false)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(w.Code).To(Equal(http.StatusOK))
+			h.g.Expect(h.sent()).To(Equal(1), "the trial")
+			h.g.Expect(h.quarantine.Empty()).To(BeFalse(), "the verdict is remembered as released")
+			held, _ := h.quarantine.Holds(h.subjectOf(kind))
+			h.g.Expect(held).To(BeFalse(), "it was answered")
+		})
+	}
+}
+
+// subjectOf returns what the quarantine knows the request of serveRequest by.
+func (h *harness) subjectOf(kind catalog.Kind) quarantine.Subject {
+	return quarantine.SubjectOf(newRequest(kind, 1, false))
+}
+
+// holdRequest makes the quarantine hold back the request of serveRequest.
+func (h *harness) holdRequest(kind catalog.Kind) {
+	name := fmt.Sprintf("request:%016x", h.subjectOf(kind).Fingerprint)
+	h.quarantine.Merge([]quarantine.Group{{Parts: []string{name}, Term: 1}}, time.Now())
+}
+
+// TestSuspectIsKeptFromTheLastEndpoint guards against a request that crashes all endpoints of
+// its service one after the other, by its repeats or as it comes again, and against one that is
+// refused for ever after a crash that it did not cause.
+func TestSuspectIsKeptFromTheLastEndpoint(t *testing.T) {
+	h := newHarness(t, 3)
+	h.scripts = []script{h.crashEndpoint, h.crashEndpoint, h.crashEndpoint}
+	_, err := h.serveRequest(catalog.Idempotent, 3, false)
+	h.g.Expect(h.sent()).To(Equal(1), "two are left: not repeated")
+	h.g.Expect(fault.From(err).Code).To(Equal(code.AnswerLost))
+	_, err = h.serveRequest(catalog.Idempotent, 3, false)
+	h.g.Expect(h.sent()).To(Equal(2), "%v", err)
+	for range 3 {
+		_, err = h.serveRequest(catalog.Idempotent, 3, false)
+		h.g.Expect(h.sent()).To(Equal(2), "the last one")
+		h.g.Expect(fault.From(err).Code).To(Equal(code.RequestHeld))
+		h.g.Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
+	}
+	h.quarantine.RecordCompleted(h.subjectOf(catalog.Idempotent).Fingerprint, time.Now())
+	h.scripts = []script{okResponse}
+	w, err := h.serveRequest(catalog.Idempotent, 3, false)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(w.Code).To(Equal(http.StatusOK))
+}
+
+// TestLostAnswerIsRepeated guards against giving up a request whose answer was lost by an
+// endpoint that is still there.
+func TestLostAnswerIsRepeated(t *testing.T) {
+	h := newHarness(t, 2, crash, okResponse)
+	w, err := h.serveRequest(catalog.Idempotent, 3, false)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(w.Code).To(Equal(http.StatusOK))
+	h.g.Expect(h.losses).To(BeEmpty())
+}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -56,9 +56,11 @@
 	// instances, and returns the name of the endpoint. The error is a *fault.Fault of class
 	// "not run", or the context's error.
 	Permit(ctx context.Context, r PermitParams) (string, error)
-	// RecordLoss records that an engine, given by the name of its process, lost a
-	// request before the first event of its answer.
-	RecordLoss(engine string, r *request.Request)
+	// RecordLoss records that an endpoint lost a request.
+	RecordLoss(requestID string, l quarantine.Loss)
+	// RecordCompleted records a complete answer to a request equal to one under which
+	// endpoints crashed.
+	RecordCompleted(fingerprint uint64)
 }
 
 // PrepareParams holds the parameters of Prepare.
@@ -80,7 +82,7 @@
 	Inputs            []string // handles of stage results
 	PreferredEndpoint string   // name of the endpoint to run on; empty for any
 	Permitted         bool     // the request was taken from the limit that this endpoint has for all instances
-	Trial             bool     // the prompt has parts that are held back; the request is sent once
+	Trial             bool     // the request is held back, and sent once to find out whether that is still needed
 	// Started is called at the first event of the response, when the endpoint
 	// has read the inputs and they can be released.
 	Started func()
@@ -154,18 +156,20 @@
 	writer        http.ResponseWriter
 	blocks        []uint64 // prefix cache blocks of the prompt
 	prepared      Prepared
-	prepareRounds int      // calls of Prepare
-	tried         []string // names of endpoints that failed or refused the request
-	sends         int      // sends, including those that failed or were refused
-	possibleRuns  int      // failed sends after which the request may have run
-	mayHaveRun    bool     // whether the request may have run on any endpoint
+	prepareRounds int                // calls of Prepare
+	tried         []string           // names of endpoints that failed or refused the request
+	sends         int                // sends, including those that failed or were refused
+	possibleRuns  int                // failed sends after which the request may have run
+	mayHaveRun    bool               // whether the request may have run on any endpoint
+	crashed       bool               // whether an endpoint crashed while it ran the request
+	known         quarantine.Subject // zero before the first call of subject
 	stream        streamState
 }
 
-// run prepares the request if it is a stream, and makes attempts until one
-// decides how the request ends.
+// run prepares the request if it is a stream, or held back, so that it can only be a trial. It
+// makes attempts until one decides how the request ends.
 func (x *exchange) run(ctx context.Context) error {
-	if x.isStream() {
+	if x.isStream() || x.isHeld() {
 		if err := x.prepare(ctx); err != nil {
 			return err
 		}
@@ -211,13 +215,17 @@
 	}
 	endpoint := x.index().ByName(lease.Endpoint.Name)
 	if endpoint == nil || lease.Check() != nil {
-		lease.Done(unsentResult())
+		lease.Cancel()
 		return x.retryOrFail("endpoint left", false)
 	}
 	if x.isHeld() { // by now
-		lease.Done(unsentResult())
+		lease.Cancel()
 		return false, x.heldFault()
 	}
+	if x.endangersService(lease) {
+		lease.Cancel()
+		return false, x.riskFault()
+	}
 	x.sends++
 	return x.send(ctx, lease, endpoint)
 }
@@ -291,6 +299,7 @@
 	}
 	x.mayHaveRun = true
 	x.possibleRuns++
+	x.crashed = x.crashed || failure.KindOf(err) == failure.Crashed
 	return x.retryOrFail(err.Error(), true)
 }
 
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -19,20 +19,16 @@
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 )
 
-// unsentResult is the result of a lease whose request was never sent.
-func unsentResult() endpointstats.Result { return endpointstats.Result{Kind: failure.Unsent} }
-
 // send sends the request to the leased endpoint and relays the response, or
 // decides what follows a failure. It reports whether to make another attempt.
 func (x *exchange) send(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint) (bool, error) {
 	sent := time.Now()
 	left := x.request.Deadline.Sub(sent)
 	resp, err := x.pool.Send(ctx, x.endpointRequest(e, left))
+	err = x.pool.CheckCrash(ctx, e.Name(), e.Address, err)
 	x.logSend(lease, e, left, resp, err)
 	if err != nil {
-		if failure.KindOf(err) == failure.Lost {
-			x.recordLoss(ctx, lease)
-		}
+		x.recordLoss(ctx, e, err, false)
 		lease.Done(endpointstats.Result{Kind: failure.KindOf(err)})
 		x.tried = append(x.tried, lease.Endpoint.Name)
 		return x.handleSendError(ctx, err)
@@ -46,9 +42,9 @@
 	case resp.Status >= 300 || !x.codec.Signed(resp.Header):
 		return x.handleErrorResponse(ctx, lease, resp)
 	case x.isStream():
-		return x.relayStream(ctx, lease, resp)
+		return x.relayStream(ctx, lease, e, resp)
 	default:
-		return x.relayResponse(ctx, lease, resp)
+		return x.relayResponse(ctx, lease, e, resp)
 	}
 }
 
@@ -120,6 +116,9 @@
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
+	if err == nil {
+		x.recordCompleted()
+	}
 	reason := fmt.Sprintf("endpoint %s answered status %d", lease.Endpoint.Name, resp.Status)
 	relayable := err == nil && resp.Status >= 300 && x.codec.Signed(resp.Header) && !x.codec.ImpliesNotRun(resp.Status)
 	if resp.Status >= 500 || !relayable {
@@ -135,13 +134,16 @@
 }
 
 // relayResponse relays a response that is not a stream, after reading all of it.
-func (x *exchange) relayResponse(ctx context.Context, lease *dispatcher.Lease, resp *connpool.Response) (bool, error) {
+func (x *exchange) relayResponse(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint, resp *connpool.Response) (bool, error) {
 	body, err := readAll(resp)
 	if err != nil {
-		lease.Done(endpointstats.Result{Kind: failure.Lost})
+		err = x.pool.CheckCrash(ctx, e.Name(), e.Address, failure.New(failure.Lost, err, "reading the answer of %s", lease.Endpoint.Name))
+		x.recordLoss(ctx, e, err, true)
+		lease.Done(endpointstats.Result{Kind: failure.KindOf(err)})
 		x.tried = append(x.tried, lease.Endpoint.Name)
-		return x.handleSendError(ctx, failure.New(failure.Lost, err, "reading the answer of %s", lease.Endpoint.Name))
+		return x.handleSendError(ctx, err)
 	}
+	x.recordCompleted()
 	lease.Done(endpointstats.Result{})
 	return false, x.writeResponse(resp, body)
 }
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
+	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -37,20 +38,20 @@
 // relayStream relays a stream, writing each event once it has arrived
 // completely. If the stream breaks, the route may allow resuming it on another
 // endpoint.
-func (x *exchange) relayStream(ctx context.Context, lease *dispatcher.Lease, resp *connpool.Response) (bool, error) {
+func (x *exchange) relayStream(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint, resp *connpool.Response) (bool, error) {
 	start := time.Now()
 	first, err := x.relayEvents(resp, start)
 	if err == nil {
+		x.recordCompleted()
 		lease.Done(endpointstats.Result{FirstToken: first, Tokens: x.stream.events, Blocks: x.blocks})
 		return false, nil
 	}
-	kind := failure.Lost
+	err = x.pool.CheckCrash(ctx, e.Name(), e.Address, err)
+	x.recordLoss(ctx, e, err, first > 0)
+	kind := failure.KindOf(err)
 	if ctx.Err() != nil {
 		kind = failure.Late
 	}
-	if first == 0 {
-		x.recordLoss(ctx, lease)
-	}
 	lease.Done(endpointstats.Result{Kind: kind})
 	x.tried = append(x.tried, lease.Endpoint.Name)
 	retry, endErr := x.handleSendError(ctx, fmt.Errorf("stream of %s after %d events: %w", lease.Endpoint.Name, x.stream.events, err))
--- a/internal/edge/request/request.go
+++ b/internal/edge/request/request.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 )
 
@@ -53,6 +55,21 @@
 // clampPriority limits a priority to the valid range.
 func clampPriority(priority int) int { return min(catalog.NumPriorities-1, max(0, priority)) }
 
+// Fingerprint returns a hash of what makes requests equal: the method, the host, the path with
+// the query, the client account and the body. It is not zero.
+func (r *Request) Fingerprint() uint64 {
+	h := xxhash.New()
+	for _, field := range []string{r.Method, r.Host, r.Target, r.Account} {
+		if _, err := h.WriteString(field + "\x00"); err != nil {
+			panic("request: hashing in memory: " + err.Error())
+		}
+	}
+	if _, err := h.Write(r.Body); err != nil {
+		panic("request: hashing in memory: " + err.Error())
+	}
+	return max(1, h.Sum64())
+}
+
 // NeedsStages reports whether any stage must produce pieces before the request
 // can run.
 func (r *Request) NeedsStages() bool {
--- a/internal/endpoint/failure/failure.go
+++ b/internal/endpoint/failure/failure.go
@@ -28,6 +28,9 @@
 	// Late means that the deadline passed, or the caller cancelled, after the
 	// call was sent.
 	Late
+	// Crashed means Lost, and that the endpoint refuses connections since: its process
+	// has ended.
+	Crashed
 )
 
 var names = [...]string{
@@ -37,11 +40,12 @@
 	Lost:    "lost",
 	Foreign: "foreign",
 	Late:    "late",
+	Crashed: "crashed",
 }
 
 // String returns the name that logs and metrics use.
 func (k Kind) String() string {
-	if k < Unsent || k > Late {
+	if k < Unsent || k > Crashed {
 		return fmt.Sprintf("kind(%d)", int(k))
 	}
 	return names[k]
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -113,6 +113,9 @@
 	return d.newLease(c, table, picker.Choice{Endpoint: table.Endpoint(name), Reason: picker.Reason{Code: picker.ByCoordinator}})
 }
 
+// IsFailing reports whether the last call of this instance to the endpoint failed.
+func (d *Dispatcher) IsFailing(name string) bool { return d.stats.Entry(name).Get().Failures > 0 }
+
 func (d *Dispatcher) newLease(c Call, table *fleettable.Table, choice picker.Choice) *Lease {
 	d.stats.Start(choice.Endpoint.Name, c.Query.Now)
 	if d.log.Enabled() {
--- a/internal/flow/dispatcher/lease.go
+++ b/internal/flow/dispatcher/lease.go
@@ -34,6 +34,12 @@
 	return nil
 }
 
+// Cancel ends the lease of a call that is not sent, instead of Done.
+func (l *Lease) Cancel() {
+	l.dispatcher.stats.Cancel(l.Endpoint.Name, l.start, time.Now())
+	l.dispatcher.wakeWaiting(l.Endpoint)
+}
+
 // Done records the result of the call, ends the lease and lets a waiting call try to
 // start. Done sets the Elapsed field of the result.
 func (l *Lease) Done(r endpointstats.Result) {
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -38,6 +38,7 @@
 	LimitUnavailable Code = 1107
 	EndpointRefused  Code = 1108
 	PromptHeld       Code = 1109
+	RequestHeld      Code = 1110
 	TicketRequired   Code = 1201
 	TicketInvalid    Code = 1202
 	TicketExpired    Code = 1203
@@ -91,6 +92,7 @@
 	LimitUnavailable:  {"limit_unavailable", http.StatusServiceUnavailable, "the share of the account's limit is in doubt here"},
 	EndpointRefused:   {"endpoint_refused", http.StatusServiceUnavailable, "the endpoint refused before running, and the table trusts its refusals"},
 	PromptHeld:        {"prompt_held", http.StatusServiceUnavailable, "engines crashed under requests with a part of this prompt; the same prompt will be refused for minutes"},
+	RequestHeld:       {"request_held", http.StatusServiceUnavailable, "endpoints crashed under equal requests; if no time to return is given, they will be refused for an hour"},
 	TicketRequired:    {"ticket_required", http.StatusPreconditionRequired, "the operation is not idempotent and needs a ticket"},
 	TicketInvalid:     {"ticket_invalid", http.StatusBadRequest, "the ticket is malformed, forged or of another client account"},
 	TicketExpired:     {"ticket_expired", http.StatusGone, "the ticket has expired unused"},
--- a/internal/routing/endpointstats/stats.go
+++ b/internal/routing/endpointstats/stats.go
@@ -68,6 +68,13 @@
 	e.history.add(now, e.stats.InFlight)
 }
 
+// cancel ends a call that was not sent. It says nothing about the endpoint.
+func (e *Entry) cancel(started, now time.Time) {
+	e.stats.InFlight--
+	e.stats.startSum -= started.UnixNano()
+	e.history.add(now, e.stats.InFlight)
+}
+
 func (e *Entry) done(res Result, now time.Time) {
 	// The adaptive limit takes the time to the first token of a streamed answer as its latency.
 	latency := res.FirstToken
--- a/internal/routing/endpointstats/tracker.go
+++ b/internal/routing/endpointstats/tracker.go
@@ -79,6 +79,14 @@
 	s.entry(name).start(now)
 }
 
+// Cancel records that a call which was to start at the given time was not sent after all.
+func (t *Tracker) Cancel(name string, started, now time.Time) {
+	e := t.Entry(name)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancel(started, now)
+}
+
 // Done records the end of a call that Start counted.
 func (t *Tracker) Done(name string, r Result, now time.Time) {
 	s := t.shard(name)
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
@@ -41,12 +42,13 @@
 
 // Batcher runs jobs. It is safe for concurrent use.
 type Batcher struct {
-	catalog   func() *catalog.Catalog
-	endpoints func() *registry.Index
-	executor  executor.Executor
-	pauses    *cooldown.Tracker
-	limits    *ratelimit.Tracker
-	log       logr.Logger
+	catalog    func() *catalog.Catalog
+	endpoints  func() *registry.Index
+	executor   executor.Executor
+	pauses     *cooldown.Tracker
+	limits     *ratelimit.Tracker
+	quarantine *quarantine.Quarantine
+	log        logr.Logger
 
 	mu           sync.Mutex
 	scheduler    *scheduler.Scheduler
@@ -62,6 +64,7 @@
 	job          *job.Job
 	done         chan error // receives the job's end; has a buffer of one, so that sending does not block
 	failedPieces int        // executions of pieces that failed
+	crashes      int        // endpoints that crashed while they executed pieces
 	freed        []bool     // by stage, whether its results were freed
 	expires      time.Time  // freeTimeout after this time the job is removed, even without Release
 	start        time.Time
@@ -72,12 +75,12 @@
 // New returns a Batcher without jobs. The function currentCatalog returns nil while
 // there is no catalog; currentEndpoints returns the index of the known endpoints; pauses
 // holds those of them that asked for a pause, and limits those that limit the calls of all
-// instances.
+// instances; q learns under which jobs endpoints crash.
 func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, pauses *cooldown.Tracker,
-	limits *ratelimit.Tracker, log logr.Logger,
+	limits *ratelimit.Tracker, q *quarantine.Quarantine, log logr.Logger,
 ) *Batcher {
 	return &Batcher{
-		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, log: log, scheduler: scheduler.New(),
+		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, quarantine: q, log: log, scheduler: scheduler.New(),
 		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool),
 		inFlight: make(map[*batchCall]struct{}),
 	}
@@ -136,6 +139,7 @@
 	}
 	e := &entry{job: j, done: make(chan error, 1), freed: make([]bool, len(j.Stages)), expires: j.Deadline, start: now, predicted: v.Predicted}
 	b.jobs[j.ID] = e
+	j.Suspect, _ = b.quarantine.IsSuspect(j.Fingerprint, now)
 	b.scheduler.Add(j)
 	if j.Finished() { // it has no pieces
 		j.Ended = true
--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
@@ -158,17 +159,18 @@
 // with one.
 type fixture struct {
 	*batcher.Batcher
-	executor *fakeExecutor
-	pauses   *cooldown.Tracker
-	limits   *ratelimit.Tracker
-	index    atomic.Pointer[registry.Index]
-	jobCount int
+	executor   *fakeExecutor
+	pauses     *cooldown.Tracker
+	limits     *ratelimit.Tracker
+	quarantine *quarantine.Quarantine
+	index      atomic.Pointer[registry.Index]
+	jobCount   int
 }
 
 // withFixture runs a test in a synctest bubble, with Run in the background.
 func withFixture(t *testing.T, test func(g *WithT, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New(), limits: ratelimit.New()}
+		f := &fixture{executor: newFakeExecutor(), pauses: cooldown.New(), limits: ratelimit.New(), quarantine: quarantine.New()}
 		batch := catalog.Batch{MaxPieces: maxPieces, MaxCalls: 1, CallOverhead: callTime, PieceTime: itemTime, ResultBytes: 1000, ResultRetention: 4 * time.Second}
 		c := catalog.New(1, nil, []*catalog.Service{{Name: "first", Batch: &batch}, {Name: "second", Batch: &batch}}, nil, false, catalog.Limits{})
 		f.index.Store(registry.NewIndex([]*registry.Endpoint{
@@ -176,7 +178,7 @@
 			{ID: "b", Service: "first", Address: "b:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
 		}))
-		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, f.limits, logr.Discard())
+		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, f.limits, f.quarantine, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -541,7 +543,7 @@
 // that has just been restarted and has no catalog yet.
 func TestPrepareBeforeFirstCatalog(t *testing.T) {
 	g := NewWithT(t)
-	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), ratelimit.New(), logr.Discard())
+	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), ratelimit.New(), quarantine.New(), logr.Discard())
 	now := time.Now()
 	j := job.New("j", "j", "key", []catalog.Stage{{Service: "first"}}, []int{1}, 0, now.Add(time.Second), now.Add(2*time.Second))
 	_, err := b.Prepare(context.Background(), j)
--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
@@ -29,6 +30,11 @@
 	// lost its response, in which case the endpoint is free, or is held up by a slow
 	// endpoint, on which more calls would only pile up.
 	maxOverdueWithoutBackoff = 1
+	// suspectCrashes is the number of crashes from which the pieces of a job share no call with
+	// others. One crash has most probably another cause.
+	suspectCrashes = 2
+	// crashRetryAfter is the time after which endpoints that crashed should be back.
+	crashRetryAfter = 2 * time.Second
 )
 
 // batchCall is one call in flight, with the pieces that it carries.
@@ -64,7 +70,7 @@
 			if b.scheduler.Waiting(name) == 0 || state.calls >= b.scheduler.MaxCalls(name) {
 				break
 			}
-			if b.send(e, s.Batch, now) {
+			if b.send(e, s.Batch, state.usable <= 1, now) {
 				state.calls++
 			}
 		}
@@ -72,8 +78,9 @@
 }
 
 // send starts the next call to an endpoint in the background. It reports whether
-// the scheduler had any pieces for the endpoint, and it may get a call.
-func (b *Batcher) send(e idleEndpoint, batch *catalog.Batch, now time.Time) bool {
+// the scheduler had any pieces for the endpoint, and it may get a call. last says whether no
+// other endpoint of the service is usable.
+func (b *Batcher) send(e idleEndpoint, batch *catalog.Batch, last bool, now time.Time) bool {
 	if !b.limits.Take(e.Name(), now) {
 		return false // a call that frees results was taken meanwhile
 	}
@@ -82,7 +89,7 @@
 		return false
 	}
 	w := e.worker
-	pieces := b.scheduler.NextBatch(scheduler.Worker{Service: e.Service, Centre: e.Centre, FreeBytes: w.space.Available(batch.ResultBytes, now), Slowdown: e.slowdown}, now)
+	pieces := b.scheduler.NextBatch(scheduler.Worker{Service: e.Service, Centre: e.Centre, FreeBytes: w.space.Available(batch.ResultBytes, now), Slowdown: e.slowdown, Last: last}, now)
 	if len(pieces) == 0 {
 		b.limits.Return(e.Name())
 		return false
@@ -134,6 +141,7 @@
 		b.abandonEarlier(c)
 		b.scheduler.RecordResponse(c.endpoint.Service, resp.OtherCalls > c.worker.calls+c.worker.overdue, now)
 		for i, p := range c.pieces {
+			p.Job.Suspect = false
 			b.handleOutcome(c, p, resp.Outcomes[i], now)
 		}
 	}
@@ -170,11 +178,40 @@
 	}
 	b.log.Info("stage call failed", "endpoint", c.endpoint.ID, "pieces", len(c.pieces), "lost", c.responseLost,
 		"after", now.Sub(c.start).String(), "reason", err.Error())
+	if kind == failure.Crashed {
+		b.recordCrash(c, now)
+	}
 	for _, p := range c.pieces {
 		b.scheduler.Requeue(p)
 	}
 }
 
+// recordCrash records that the endpoint of a call crashed, for which each job with pieces in the
+// call is a suspect. A job that was alone in the call is given up: it has most probably crashed
+// the endpoint, and would crash the next one.
+func (b *Batcher) recordCrash(c *batchCall, now time.Time) {
+	jobs := make(map[*job.Job]bool)
+	for _, p := range c.pieces {
+		jobs[p.Job] = true
+	}
+	for j := range jobs {
+		s := quarantine.Subject{Fingerprint: j.Fingerprint}
+		b.quarantine.RecordLoss(quarantine.NewLoss(c.endpoint.Name(), s, true, true, now))
+		e := b.jobs[j.ID]
+		if e == nil || e.job != j {
+			continue
+		}
+		wasSuspect := j.Suspect
+		e.crashes++
+		j.Suspect = j.Suspect || e.crashes >= suspectCrashes
+		if len(jobs) == 1 && wasSuspect {
+			refusal := fault.New(code.RequestHeld, "endpoints crashed while they executed its pieces")
+			refusal.RetryAfter = crashRetryAfter
+			b.abort(e, refusal)
+		}
+	}
+}
+
 // handleOutcome handles the outcome of one piece.
 func (b *Batcher) handleOutcome(c *batchCall, p scheduler.Piece, o executor.Outcome, now time.Time) {
 	size := p.Job.Stages[p.Stage].Bytes
--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -120,8 +120,9 @@
 
 // serviceState is the state of the endpoints of a service at one moment.
 type serviceState struct {
-	idle  []idleEndpoint // least slowed down first
-	calls int            // in flight to all endpoints, without the overdue ones
+	idle   []idleEndpoint // least slowed down first
+	calls  int            // in flight to all endpoints, without the overdue ones
+	usable int            // endpoints that are not in back-off after a failed call
 }
 
 // refreshService tells the scheduler how many calls the endpoints of a service can
@@ -143,6 +144,7 @@
 		}
 		if !w.inFailureBackoff(now) {
 			usable[e.Centre] += b.callsAtOnce(e.Name(), batch, slowdown)
+			state.usable++
 		}
 		if left, ok := b.limits.Left(e.Name(), now); !ok || left > 0 {
 			continue
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -46,10 +46,13 @@
 	Request string   // id of the request
 	Service string   // service of the engine; empty if no engine is wanted
 	Prompt  []request.PromptPart
-	Tried   []string // names of engines that failed the request
-	MayTry  bool     // whether the request may be a trial of prompt parts that are held back
-	Rank    int      // scheduling priority; zero is the most urgent
-	Goal    time.Time
+	// Fingerprint is the same for equal requests, see request.Request.Fingerprint; zero if not
+	// known.
+	Fingerprint uint64
+	Tried       []string // names of engines that failed the request
+	MayTry      bool     // whether the request may be a trial, if it is held back
+	Rank        int      // scheduling priority; zero is the most urgent
+	Goal        time.Time
 	// Deadline is the time after which no engine can answer the request.
 	Deadline time.Time
 }
@@ -59,7 +62,7 @@
 	Handles   []string // handles of the results that the request reads
 	Engine    string   // name of the chosen engine's endpoint; empty if none was found
 	Permitted bool     // the request was taken from the limit that the engine has for all instances
-	Trial     bool     // the prompt has parts that are held back; the request must not be repeated
+	Trial     bool     // the request is held back, and sent as a trial; it must not be repeated
 }
 
 // Coordinator runs the stages of orders and chooses their engines. It is safe for
@@ -115,8 +118,8 @@
 			return Prepared{}, heldOr(ctx, err)
 		}
 	}
-	if !open.trial && c.quarantine.Holds(o.Prompt) {
-		return Prepared{}, heldFault()
+	if held, whole := c.quarantine.Holds(o.subject()); held && !open.trial {
+		return Prepared{}, heldFault(whole)
 	}
 	release()
 	prepared, err := c.chooseEngine(ctx, o, results)
--- a/internal/stage/coordinator/held.go
+++ b/internal/stage/coordinator/held.go
@@ -1,7 +1,7 @@
 package coordinator
 
-// This file rejects the orders whose prompt has parts that crash engines, also those that
-// wait or whose stages run, and records whose answers have begun.
+// This file rejects the orders of requests that crash endpoints, also those that wait or whose
+// stages run, and records whose answers have begun.
 
 import (
 	"context"
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
-	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 )
@@ -19,44 +18,60 @@
 
 // openOrder is an order that has not ended.
 type openOrder struct {
-	prompt []request.PromptPart
-	trial  bool
-	since  time.Time
-	cancel context.CancelCauseFunc // ends its preparation; nil once it is prepared
+	subject quarantine.Subject
+	trial   bool
+	since   time.Time
+	cancel  context.CancelCauseFunc // ends its preparation; nil once it is prepared
 }
 
-// errHeld is the cause with which the preparation of an order is cancelled.
-var errHeld = errors.New("a part of the prompt is held back")
+// subject returns what the quarantine knows the request by.
+func (o Order) subject() quarantine.Subject {
+	return quarantine.Subject{Fingerprint: o.Fingerprint, Prompt: o.Prompt}
+}
+
+// Causes with which the preparation of an order is cancelled.
+var (
+	errPromptHeld  = errors.New("a part of the prompt is held back")
+	errRequestHeld = errors.New("the request is held back as a whole")
+)
 
-// heldFault has no time to retry after: the same prompt would be refused again.
-func heldFault() *fault.Fault {
+// heldFault has no time to retry after: the same request would be refused again.
+func heldFault(whole bool) *fault.Fault {
+	if whole {
+		return fault.New(code.RequestHeld, "endpoints crashed under equal requests")
+	}
 	return fault.New(code.PromptHeld, "engines crashed under requests with a part of the prompt")
 }
 
-// heldOr returns the fault of an order whose preparation was cancelled because its prompt
-// is held back, and err for others.
+// heldOr returns the fault of an order whose preparation was cancelled because it is held
+// back, and err for others.
 func heldOr(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errHeld) {
-		return heldFault()
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errPromptHeld):
+		return heldFault(false)
+	case errors.Is(cause, errRequestHeld):
+		return heldFault(true)
 	}
 	return err
 }
 
-// open decides whether an order is admitted, and records it. The context ends with errHeld
-// as its cause once the order's prompt is held back.
+// open decides whether an order is admitted, and records it. The context ends with
+// errPromptHeld or errRequestHeld as its cause once the order is held back.
 func (c *Coordinator) open(ctx context.Context, o Order, now time.Time) (context.Context, *openOrder, error) {
-	decision := c.quarantine.Admit(o.Prompt, o.ID, o.MayTry, now)
+	subject := o.subject()
+	decision := c.quarantine.Admit(subject, o.ID, o.MayTry, now)
 	switch decision {
 	case quarantine.Admitted:
 	case quarantine.Trial:
-		c.log.Info("sending a request with prompt parts that are held back, as a trial", "request", o.Request)
+		c.log.Info("sending a request that is held back, as a trial", "request", o.Request)
 	case quarantine.Held:
-		return ctx, nil, heldFault()
+		_, whole := c.quarantine.Holds(subject)
+		return ctx, nil, heldFault(whole)
 	default:
 		panic("coordinator: got decision " + decision.String())
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	open := &openOrder{prompt: o.Prompt, trial: decision == quarantine.Trial, since: now, cancel: cancel}
+	open := &openOrder{subject: subject, trial: decision == quarantine.Trial, since: now, cancel: cancel}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders[o.ID] = open
@@ -77,13 +92,19 @@
 	delete(c.orders, id)
 }
 
-// RejectHeld rejects the orders in preparation whose prompt is held back by now.
+// RejectHeld rejects the orders in preparation that are held back by now.
 func (c *Coordinator) RejectHeld() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, open := range c.orders {
-		if open.cancel != nil && !open.trial && c.quarantine.Holds(open.prompt) {
-			open.cancel(errHeld)
+		if open.cancel == nil || open.trial {
+			continue
+		}
+		switch held, whole := c.quarantine.Holds(open.subject); {
+		case held && whole:
+			open.cancel(errRequestHeld)
+		case held:
+			open.cancel(errPromptHeld)
 		}
 	}
 }
@@ -96,8 +117,8 @@
 	if open == nil {
 		return
 	}
-	for _, g := range c.quarantine.RecordBegun(open.prompt, now) {
-		c.log.Info("verdict on prompt parts changed", "parts", g.Parts, "held", g.Held(), "reason", "an answer has begun", "order", id)
+	for _, g := range c.quarantine.RecordBegun(open.subject, now) {
+		c.log.Info("verdict on requests changed", "features", g.Parts, "held", g.Held(), "reason", "an answer has begun", "order", id)
 	}
 }
 
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -158,10 +158,11 @@
 func newOrder(r proxy.PrepareParams, id string) coordinator.Order {
 	req := r.Request
 	o := coordinator.Order{
-		ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried, Rank: req.SchedulingPriority(), Goal: req.Goal, Deadline: req.Deadline,
+		ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried, Rank: req.SchedulingPriority(), Goal: req.Goal, Deadline: req.Deadline, Fingerprint: req.Fingerprint(),
 	}
 	if req.NeedsStages() {
 		o.Job = job.New(o.ID, req.ID, req.PieceKey, req.Route.Stages, req.Pieces, req.SchedulingPriority(), req.Goal, req.Deadline)
+		o.Job.Fingerprint = o.Fingerprint
 	}
 	return o
 }
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -149,8 +149,8 @@
 	c.started++
 	catalogNow := func() *catalog.Catalog { return c.catalog }
 	endpointsNow := func() *registry.Index { return c.index }
-	in.limits = ratelimit.New()
-	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), in.limits, logr.Discard())
+	in.limits, in.quarantine = ratelimit.New(), quarantine.New()
+	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), in.limits, in.quarantine, logr.Discard())
 	current := freshness.New(boottime.Now)
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started}
@@ -159,7 +159,6 @@
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
 	in.notices = notice.New(in.registry, cooldown.New(), in.limits, logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
-	in.quarantine = quarantine.New()
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, in.limits, cooldown.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -179,6 +179,9 @@
 	now := time.Now()
 	f.election.RecordAnswer(address, decodeRoll(roll, now), now)
 	f.heard.CompareAndSwap(0, now.UnixNano())
+	if f.election.Leader(now) == address {
+		f.quarantine.LearnSuspects(decodeSuspects(roll.Suspects, now), now)
+	}
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
 		changes, known := decodeChanges(roll.Changes)
 		f.peerStatus.Set(peerstatus.Report{
@@ -261,6 +264,7 @@
 		Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(),
 		Held: encodeHeld(f.quarantine.Groups(now)), Limits: encodeLimits(f.notices.RecentLimits(), now),
 		Leader: f.currentLeader(), Fleet: uint32(size), FleetMs: uint32(counted.Milliseconds()), Starting: f.starting(now),
+		Suspects: encodeSuspects(f.quarantine.Suspects(), now),
 	}
 	if confirmed {
 		roll.Revision = status.Position.Revision
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -1,28 +1,26 @@
 package forwarder
 
-// This file tells the coordinator which requests engines lost, has it judge which parts of
-// prompts crash engines, and shares the verdicts.
+// This file tells the coordinator which requests endpoints lost, has it judge which requests
+// crash endpoints, and shares the verdicts.
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
-	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
 
 const maxToldLosses = 1024 // in one message
 
-// RecordLoss records that an engine lost a request before the first event of its answer,
-// and tells the coordinator.
-func (f *Forwarder) RecordLoss(engine string, req *request.Request) {
-	now := time.Now()
-	l := quarantine.NewLoss(engine, req.Prompt, now)
+// RecordLoss records that an endpoint lost a request, and tells the coordinator.
+func (f *Forwarder) RecordLoss(requestID string, l quarantine.Loss) {
 	if !f.quarantine.RecordLoss(l) {
 		return
 	}
-	f.log.Info("engine lost a request before its first event", "request", req.ID, "engine", engine, "parts", l.Parts)
+	f.log.Info("endpoint lost a request", "request", requestID, "endpoint", l.Engine, "parts", l.Parts,
+		"fingerprint", fmt.Sprintf("%016x", l.Fingerprint), "crashed", l.Crashed)
 	switch leader := f.currentLeader(); leader {
 	case "":
 	case f.self:
@@ -32,6 +30,22 @@
 	}
 }
 
+// RecordCompleted records a complete answer to a request equal to one under which endpoints
+// crashed, and tells the coordinator.
+func (f *Forwarder) RecordCompleted(fingerprint uint64) {
+	f.clearRequest(fingerprint, "an equal request was answered")
+	if leader := f.currentLeader(); leader != "" && leader != f.self {
+		f.reportCompleted(f.remoteCoordinator(leader), fingerprint)
+	}
+}
+
+// clearRequest clears requests with the fingerprint of the crashes under them.
+func (f *Forwarder) clearRequest(fingerprint uint64, reason string) {
+	for _, g := range f.quarantine.RecordCompleted(fingerprint, time.Now()) {
+		f.log.Info("verdict on requests changed", "features", g.Parts, "held", g.Held(), "term", g.Term, "reason", reason)
+	}
+}
+
 // tellLosses tells all that this instance knows to a new coordinator.
 func (f *Forwarder) tellLosses(leader string, now time.Time) {
 	if losses := f.quarantine.Losses(now); leader != f.self && len(losses) > 0 {
@@ -44,7 +58,7 @@
 	isNew := false
 	for _, l := range list[:min(len(list), maxToldLosses)] {
 		isNew = f.quarantine.RecordLoss(quarantine.Loss{
-			Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, At: now.Add(-clamp(time.Duration(l.AgeMs) * time.Millisecond)),
+			Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, Fingerprint: l.Fingerprint, Crashed: l.Crashed, At: now.Add(-clamp(time.Duration(l.AgeMs) * time.Millisecond)),
 		}) || isNew
 	}
 	if isNew {
@@ -57,7 +71,7 @@
 	time.AfterFunc(quarantine.SettleTime, func() { contain.Do(f.log, "judging lost requests", f.judge) })
 }
 
-// judge holds back the parts against which the known losses are sufficient evidence, if
+// judge holds back the features against which the known losses are sufficient evidence, if
 // this instance is the coordinator.
 func (f *Forwarder) judge() {
 	f.mu.Lock()
@@ -68,7 +82,7 @@
 	}
 	verdicts := f.quarantine.Judge(since, time.Now())
 	for _, g := range verdicts {
-		f.log.Info("prompt parts crash engines and are held back", "parts", g.Parts, "term", g.Term)
+		f.log.Info("requests crash endpoints and are held back", "features", g.Parts, "term", g.Term)
 	}
 	if len(verdicts) > 0 {
 		f.local.RejectHeld()
@@ -86,15 +100,15 @@
 	}
 	newer := f.quarantine.Merge(groups, time.Now())
 	for _, g := range newer {
-		f.log.Info("verdict on prompt parts changed", "parts", g.Parts, "held", g.Held(), "term", g.Term, "reason", "another instance said so")
+		f.log.Info("verdict on requests changed", "features", g.Parts, "held", g.Held(), "term", g.Term, "reason", "another instance said so")
 	}
 	if len(newer) > 0 {
 		f.local.RejectHeld()
 	}
 }
 
-// mayTry reports whether this instance may send a request whose prompt is held back, to
-// find out whether the parts have become sound: it is the coordinator, and not cut off
+// mayTry reports whether this instance may send a request that is held back, to find out
+// whether it has become sound: it is the coordinator, and not cut off
 // from the other instances, which might do the same.
 func (f *Forwarder) mayTry() bool {
 	f.mu.Lock()
@@ -114,7 +128,23 @@
 func encodeLosses(losses []quarantine.Loss, now time.Time) []*stagepb.Loss {
 	var list []*stagepb.Loss
 	for _, l := range losses {
-		list = append(list, &stagepb.Loss{Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, AgeMs: uint32(max(0, now.Sub(l.At).Milliseconds()))})
+		list = append(list, &stagepb.Loss{Engine: l.Engine, Prompt: l.Prompt, Parts: l.Parts, Fingerprint: l.Fingerprint, Crashed: l.Crashed, AgeMs: uint32(max(0, now.Sub(l.At).Milliseconds()))})
 	}
 	return list
 }
+
+func encodeSuspects(list []quarantine.Suspect, now time.Time) []*stagepb.Suspect {
+	var out []*stagepb.Suspect
+	for _, s := range list {
+		out = append(out, &stagepb.Suspect{Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, AgeMs: uint32(max(0, now.Sub(s.Last).Milliseconds()))})
+	}
+	return out
+}
+
+func decodeSuspects(list []*stagepb.Suspect, now time.Time) []quarantine.Suspect {
+	out := make([]quarantine.Suspect, len(list))
+	for i, s := range list {
+		out[i] = quarantine.Suspect{Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, Last: now.Add(-clamp(time.Duration(s.AgeMs) * time.Millisecond))}
+	}
+	return out
+}
--- a/internal/stage/forwarder/losses_test.go
+++ b/internal/stage/forwarder/losses_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -23,11 +24,18 @@
 	return list
 }
 
+// holds reports whether an instance holds back requests with the prompt.
+func (in *instance) holds(prompt []request.PromptPart) bool {
+	held, _ := in.quarantine.Holds(quarantine.Subject{Prompt: prompt})
+	return held
+}
+
 // lose reports the losses of requests with the part D, each by another engine, from the
 // instances in turn.
 func lose(from, to int, instances ...*instance) {
 	for i := from; i < to; i++ {
-		instances[i%len(instances)].RecordLoss(fmt.Sprint("e", i), &request.Request{ID: fmt.Sprint("r", i), Prompt: promptOf("A", "D", fmt.Sprint("o", i))})
+		s := quarantine.Subject{Prompt: promptOf("A", "D", fmt.Sprint("o", i))}
+		instances[i%len(instances)].RecordLoss(fmt.Sprint("r", i), quarantine.NewLoss(fmt.Sprint("e", i), s, false, true, time.Now()))
 	}
 }
 
@@ -71,13 +79,13 @@
 	g.Expect(c.prepareWith(t, weak, "r1", bad)).To(BeZero(), "two crashes")
 	lose(2, 7, weak, middle, strong)
 	for _, in := range []*instance{weak, middle, strong} {
-		g.Eventually(func() bool { return in.quarantine.Holds(bad) }, waitLimit).Should(BeTrue())
+		g.Eventually(func() bool { return in.holds(bad) }, waitLimit).Should(BeTrue())
 		g.Expect(c.prepareWith(t, in, "r2"+in.name, bad)).To(Equal(code.PromptHeld))
 		g.Expect(c.prepareWith(t, in, "r3"+in.name, promptOf("A", "B", "o3"))).To(BeZero())
 	}
 	g.Expect(strong.made.Load()).To(BeNumerically("==", 2*(2+3)), "pieces, none of them for a request that is held back")
 	late := c.start(t, &fakeExecutor{name: "late"}, 50)
-	g.Eventually(func() bool { return late.quarantine.Holds(bad) }, waitLimit).Should(BeTrue())
+	g.Eventually(func() bool { return late.holds(bad) }, waitLimit).Should(BeTrue())
 	strong.stop()
 	g.Eventually(func() code.Code { return c.prepareWith(t, late, "r4", promptOf("A", "B", "o4")) }, waitLimit).Should(BeZero())
 	g.Expect(c.prepareWith(t, late, "r5", bad)).To(Equal(code.PromptHeld))
@@ -95,9 +103,9 @@
 	time.Sleep(100 * time.Millisecond)
 	strong.stop()
 	time.Sleep(4 * time.Second)
-	g.Expect(middle.quarantine.Holds(promptOf("A", "D", "o"))).To(BeFalse(), "four crashes")
+	g.Expect(middle.holds(promptOf("A", "D", "o"))).To(BeFalse(), "four crashes")
 	lose(4, 5, weak)
-	g.Eventually(func() bool { return middle.quarantine.Holds(promptOf("A", "D", "o")) }, time.Second).Should(BeTrue())
+	g.Eventually(func() bool { return middle.holds(promptOf("A", "D", "o")) }, time.Second).Should(BeTrue())
 }
 
 // TestWaitingOrderIsRejected guards against stage work for a request whose prompt is held
@@ -131,9 +139,38 @@
 	time.Sleep(2500 * time.Millisecond)
 	lose(0, 5, strong)
 	bad := promptOf("A", "D", "o99")
-	g.Eventually(func() bool { return weak.quarantine.Holds(bad) }, waitLimit).Should(BeTrue())
+	g.Eventually(func() bool { return weak.holds(bad) }, waitLimit).Should(BeTrue())
 	strong.stop()
 	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		g.Expect(c.prepareWith(t, weak, "r1", bad)).To(Equal(code.PromptHeld))
 	}
 }
+
+// TestEqualRequestsAreCountedTogether guards against a request that crashes endpoints and is not
+// noticed because each instance sees only one of the crashes. Each instance knows the suspect
+// before the verdict, and the verdict, also as it ends.
+func TestEqualRequestsAreCountedTogether(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	all := []*instance{c.start(t, &fakeExecutor{name: "leader"}, 400), c.start(t, &fakeExecutor{name: "b"}, 100), c.start(t, &fakeExecutor{name: "c"}, 100)}
+	time.Sleep(2 * time.Second)
+	const fingerprint = 77
+	deadly := quarantine.Subject{Fingerprint: fingerprint}
+	crash := func(i int) {
+		all[i].RecordLoss("r", quarantine.NewLoss(fmt.Sprint("e", i), deadly, false, true, time.Now()))
+	}
+	crash(1)
+	for _, in := range all {
+		g.Eventually(func() bool { suspect, _ := in.quarantine.IsSuspect(fingerprint, time.Now()); return suspect }, waitLimit).Should(BeTrue(), in.name)
+	}
+	crash(2)
+	crash(0)
+	for _, in := range all {
+		g.Eventually(func() bool { held, whole := in.quarantine.Holds(deadly); return held && whole }, waitLimit).Should(BeTrue(), in.name)
+	}
+	all[2].RecordCompleted(fingerprint)
+	for _, in := range all {
+		g.Eventually(func() bool { held, _ := in.quarantine.Holds(deadly); return held }, waitLimit).Should(BeFalse(), in.name)
+		g.Eventually(func() bool { suspect, _ := in.quarantine.IsSuspect(fingerprint, time.Now()); return suspect }, waitLimit).Should(BeFalse(), in.name)
+	}
+}
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -47,6 +47,7 @@
 	started  []string          // ids of orders whose inputs are no longer needed, to be sent
 	ended    []string          // ids of orders whose requests have left their engines, to be sent
 	losses   []quarantine.Loss // to be sent
+	complete []uint64          // fingerprints of requests that were answered completely, to be sent
 	flushing bool              // whether a flush is scheduled
 }
 
@@ -166,6 +167,16 @@
 	f.scheduleFlush(c)
 }
 
+// reportCompleted queues the fingerprint of a request that was answered completely.
+func (f *Forwarder) reportCompleted(c *remoteCoordinator, fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.complete) < maxPendingProgress {
+		c.complete = append(c.complete, fingerprint)
+		f.scheduleFlush(c)
+	}
+}
+
 // scheduleFlush schedules a flush if none is scheduled. The caller holds the lock of c.
 func (f *Forwarder) scheduleFlush(c *remoteCoordinator) {
 	if !c.flushing {
@@ -178,8 +189,8 @@
 // entries are dropped.
 func (f *Forwarder) flushProgress(c *remoteCoordinator) {
 	c.mu.Lock()
-	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now())}
-	c.started, c.ended, c.losses, c.flushing = nil, nil, nil, false
+	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now()), Completed: c.complete}
+	c.started, c.ended, c.losses, c.complete, c.flushing = nil, nil, nil, nil, false
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(c.ctx, progressTimeout)
 	defer cancel()
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -81,6 +81,9 @@
 		f.local.Started(in.Started)
 		f.local.Ended(in.Ended)
 		f.learnLosses(in.Losses, time.Now())
+		for _, fingerprint := range in.Completed[:min(len(in.Completed), maxToldLosses)] {
+			f.clearRequest(fingerprint, "an equal request was answered")
+		}
 		return proto.Marshal(&stagepb.News{})
 	})
 }
@@ -92,7 +95,7 @@
 	o := &stagepb.Order{
 		Id: id, Request: req.ID, Key: req.PieceKey, Rank: uint32(req.SchedulingPriority()), GoalMs: time.Until(req.Goal).Milliseconds(),
 		DeadlineMs: uint64(max(0, time.Until(req.Deadline).Milliseconds())), Service: req.Service,
-		Tried: r.Tried,
+		Tried: r.Tried, Fingerprint: req.Fingerprint(),
 	}
 	if req.NeedsStages() {
 		for i, s := range req.Route.Stages {
@@ -116,7 +119,7 @@
 	goal := now.Add(clamp(time.Duration(in.GoalMs) * time.Millisecond))
 	deadline := now.Add(clamp(time.Duration(in.DeadlineMs) * time.Millisecond))
 	o := coordinator.Order{
-		ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried, Rank: int(in.Rank), Goal: goal, Deadline: deadline,
+		ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried, Rank: int(in.Rank), Goal: goal, Deadline: deadline, Fingerprint: in.Fingerprint,
 	}
 	for _, p := range in.Prompt {
 		o.Prompt = append(o.Prompt, request.PromptPart{ID: p.Id, Tokens: int(p.Tokens)})
@@ -144,6 +147,7 @@
 		}
 	}
 	o.Job = job.New(in.Id, in.Request, in.Key, stages, pieces, int(in.Rank), goal, deadline)
+	o.Job.Fingerprint = o.Fingerprint
 	return o, nil
 }
 
--- a/internal/stage/job/job.go
+++ b/internal/stage/job/job.go
@@ -13,7 +13,7 @@
 
 // Job is the stage work of one request: a graph of stages, each of which has a
 // number of pieces. The fields above the blank line are not changed once the job
-// is submitted; those below it are changed only by the scheduler.
+// is submitted; those below it are changed only by the scheduler and its caller.
 type Job struct {
 	ID           string // id of the order that the job belongs to
 	Request      string // id of the request, which endpoints receive
@@ -25,11 +25,13 @@
 	Deadline     time.Time     // when the stages must have ended; the job is given up then
 	FirstEvent   time.Duration // expected time from the end of the stages to the request's first event; Goal allows for it
 	OutputCentre string        // data centre in which the request reads the results of the final stages; empty for any
+	Fingerprint  uint64        // of the request, the same for equal ones; zero if not known
 
 	Results   [][]Result // by stage and piece; the zero Result for a piece that is not executed
 	Remaining []int      // number of pieces without a result, by stage
 	Queued    []bool     // whether the pieces of a stage have been queued, by stage
 	Ended     bool       // whether the job is finished, cancelled or given up
+	Suspect   bool       // whether an endpoint crashed while it executed pieces of the job; its pieces share no call then
 }
 
 // Result is the result of a piece, held at the endpoint that produced it.
--- a/internal/stage/scheduler/batch.go
+++ b/internal/stage/scheduler/batch.go
@@ -25,12 +25,14 @@
 	Centre    string
 	FreeBytes int64   // bytes of results that it can still hold
 	Slowdown  float64 // duration of its calls relative to the usual one, 1 or more
+	Last      bool    // no other worker of the service is usable
 }
 
 // NextBatch chooses the pieces of a worker's next call and removes them from
 // the queue. It returns none if no piece is waiting, or if all waiting pieces
 // are better left to another worker: one that is fast enough to meet their goal
-// or one in the data centre of their inputs.
+// or one in the data centre of their inputs. The pieces of a suspect job share no call with
+// others, which a crash would end too, and are not for the last worker.
 func (s *Scheduler) NextBatch(w Worker, now time.Time) []Piece {
 	q := s.queueFor(w.Service)
 	if q.waiting == 0 {
@@ -40,6 +42,9 @@
 	var pieces []Piece
 	for _, c := range candidates {
 		g := c.group
+		if g.job.Suspect && w.Last || len(pieces) > 0 && pieces[0].Job != g.job && (g.job.Suspect || pieces[0].Job.Suspect) {
+			continue
+		}
 		size := max(1, g.job.Stages[g.stage].Bytes)
 		for len(g.pieces) > 0 && len(pieces) < q.batch.MaxPieces && w.FreeBytes >= size {
 			pieces = append(pieces, Piece{Job: g.job, Stage: g.stage, Index: g.pieces[0]})
