Proxy: send trials also where few endpoints are left

A trial that was admitted and then not sent, as it would endanger its service, is one of two in an hour: a request held back wrongly would stay so for minutes at a service with one endpoint.

--- a/internal/edge/proxy/held.go
+++ b/internal/edge/proxy/held.go
@@ -59,9 +59,10 @@
 }
 
 // endangersService reports whether the request, under which an endpoint crashed not long ago,
-// would leave too few endpoints of its service to others if the leased one crashed too.
+// would leave too few endpoints of its service to others if the leased one crashed too. A trial
+// never does, since there are few of them.
 func (x *exchange) endangersService(lease *dispatcher.Lease) bool {
-	if x.quarantine.Empty() {
+	if x.prepared.Trial || x.quarantine.Empty() {
 		return false
 	}
 	now := time.Now()
--- a/internal/edge/proxy/limited.go
+++ b/internal/edge/proxy/limited.go
@@ -61,8 +61,8 @@
 	return nil, limitErr
 }
 
-// acquirePermitted gets a lease on one of the limited endpoints, from whose limit the coordinator took the
-// request. It waits until the latest time for that; a zero time means that it does not.
+// acquirePermitted gets a lease on one of the limited endpoints, from whose limit the coordinator
+// took the request. It waits until the latest time for that; a zero time means that it does not.
 func (x *exchange) acquirePermitted(ctx context.Context, call dispatcher.Call, limited []string, latest time.Time) (*dispatcher.Lease, error) {
 	name, err := x.preparer.Permit(ctx, PermitParams{Request: x.request, Endpoints: limited, Latest: latest})
 	if err != nil {
--- a/internal/routing/ratelimit/bucket.go
+++ b/internal/routing/ratelimit/bucket.go
@@ -41,8 +41,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.endpoints[name]
-	if s == nil || !s.Limited {
+	s := t.limited(name)
+	if s == nil {
 		return true
 	}
 	if s.bucket.refill(t.rate(s), now); s.bucket.tokens < 1 {
@@ -56,7 +56,7 @@
 func (t *Tracker) Return(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.endpoints[name]; s != nil && s.Limited {
+	if s := t.limited(name); s != nil {
 		s.bucket.tokens++
 	}
 }
@@ -69,8 +69,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.endpoints[name]
-	if s == nil || !s.Limited {
+	s := t.limited(name)
+	if s == nil {
 		return 0, true
 	}
 	rate := t.rate(s)
@@ -91,11 +91,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.endpoints[name]
-	if s == nil || !s.Limited {
-		return 0, false
+	if s := t.limited(name); s != nil {
+		return t.rate(s), true
 	}
-	return t.rate(s), true
+	return 0, false
 }
 
 // TrialDue reports whether an endpoint with a limit should get the next request although other
@@ -103,8 +102,8 @@
 func (t *Tracker) TrialDue(name string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.endpoints[name]
-	if s == nil || !s.Limited || now.Sub(s.lastTrial) < trialInterval {
+	s := t.limited(name)
+	if s == nil || now.Sub(s.lastTrial) < trialInterval {
 		return false
 	}
 	s.lastTrial = now
--- a/internal/routing/ratelimit/tracker.go
+++ b/internal/routing/ratelimit/tracker.go
@@ -112,11 +112,19 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.endpoints[name]
-	if s == nil || !s.Limited {
-		return 0, false
+	if s := t.limited(name); s != nil {
+		return s.Rate, true
+	}
+	return 0, false
+}
+
+// limited returns the state of an endpoint with a limit; nil if it has none. The caller holds
+// the lock.
+func (t *Tracker) limited(name string) *state {
+	if s := t.endpoints[name]; s != nil && s.Limited {
+		return s
 	}
-	return s.Rate, true
+	return nil
 }
 
 // Any reports whether any endpoint may have a limit.
--- a/internal/stage/forwarder/limits.go
+++ b/internal/stage/forwarder/limits.go
@@ -23,8 +23,8 @@
 	permitRounding = time.Millisecond // durations are sent in milliseconds
 )
 
-// updateShare sets the part of the limits that this instance shares out: as the coordinator, what its
-// followers are of the fleet.
+// updateShare sets the part of the limits that this instance shares out: as the coordinator, what
+// its followers are of the fleet.
 func (f *Forwarder) updateShare(now time.Time) {
 	share := 0.0
 	if !f.followsPeer() {
@@ -35,8 +35,8 @@
 
 // Permit has the coordinator take a request from the limit of one of the endpoints that may
 // take it, and returns the name of the endpoint. If a coordinator is lost the next leader is
-// asked, and at last this instance itself, which has no part of the limit unless it leads. The error
-// is a *fault.Fault or the context's.
+// asked, and at last this instance itself, which has no part of the limit unless it leads. The
+// error is a *fault.Fault or the context's.
 func (f *Forwarder) Permit(ctx context.Context, r proxy.PermitParams) (string, error) {
 	if r.Latest.IsZero() {
 		var cancel context.CancelFunc
@@ -84,9 +84,9 @@
 	return call
 }
 
-// encodeLimits returns the message of claims. The age of the end of a limit is raised by more than the message
-// takes, so that the receiver does not take it for later than it was: a limit that was named
-// again since holds.
+// encodeLimits returns the message of claims. The age of the end of a limit is raised by more than
+// the message takes, so that the receiver does not take it for later than it was: a limit that was
+// named again since holds.
 func encodeLimits(claims []ratelimit.Claim, now time.Time) []*stagepb.Limit {
 	var list []*stagepb.Limit
 	for _, c := range claims {
