Quarantine: verdicts on whole requests explain no crash as to prompt parts

Its log shows a stream with a deadly part, repeated and retried by its caller, held back as a whole after three crashes; these crashes then no longer counted against the part, whose verdicts came at the 9th and 10th crash. They count on. TestVerdicts, "repeats of a request with a part, and then another one", failed before.

--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -43,7 +43,7 @@
 }
 
 // isWhole reports whether the group is about a request as a whole.
-func (g *group) isWhole() bool { return slices.ContainsFunc(g.Parts, isWhole) }
+func (g Group) isWhole() bool { return slices.ContainsFunc(g.Parts, isWhole) }
 
 func (g *group) trialDue(now time.Time) bool {
 	if g.isWhole() {
--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -48,28 +48,50 @@
 		for _, parts := range groups {
 			verdicts = append(verdicts, q.hold(parts, now))
 		}
-		evidence = slices.DeleteFunc(evidence, func(l Loss) bool { return crashed[l.Engine] })
+		evidence = withoutCrashes(evidence, crashed, !slices.ContainsFunc(verdicts[len(verdicts)-len(groups):], Group.isWhole))
 	}
 }
 
-// unexplained returns the losses that count, with the parts that have not been cleared, of
-// the engines whose crash no held group explains. The caller holds the lock.
+// withoutCrashes removes the evidence of crashes that verdicts explain. Those on whole requests
+// explain nothing as to prompt parts: the requests may have a part in common with others that
+// crash engines.
+func withoutCrashes(losses []Loss, explained map[string]bool, byParts bool) []Loss {
+	kept := losses[:0]
+	for _, l := range losses {
+		if explained[l.Engine] {
+			l.Parts = slices.DeleteFunc(l.Parts, func(f string) bool { return byParts || isWhole(f) })
+		}
+		if len(l.Parts) > 0 {
+			kept = append(kept, l)
+		}
+	}
+	return kept
+}
+
+// unexplained returns the losses that count, with the features that have not been cleared and
+// whose evidence no held group explains. The caller holds the lock.
 func (q *Quarantine) unexplained(now time.Time) []Loss {
-	explained := make(map[string]bool)
+	byParts, byWhole := make(map[string]bool), make(map[string]bool)
 	for _, l := range q.losses {
 		features := append([]string{wholeOf(l.Fingerprint)}, l.Parts...)
 		for _, g := range q.groups {
-			explained[l.Engine] = explained[l.Engine] || g.Held() && g.within(features)
+			switch {
+			case !g.Held() || !g.within(features):
+			case g.isWhole():
+				byWhole[l.Engine] = true
+			default:
+				byParts[l.Engine] = true
+			}
 		}
 	}
 	var list []Loss
 	for _, l := range q.losses {
-		if !explained[l.Engine] && now.Sub(l.At) >= SettleTime {
+		if now.Sub(l.At) >= SettleTime {
 			l.Parts = q.suspects(l)
 			list = append(list, l)
 		}
 	}
-	return list
+	return withoutCrashes(withoutCrashes(list, byParts, true), byWhole, false)
 }
 
 // record is the evidence against one feature.
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -131,7 +131,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	list := q.holding(s)
-	return len(list) > 0, slices.ContainsFunc(list, (*group).isWhole)
+	return len(list) > 0, slices.ContainsFunc(list, func(g *group) bool { return g.isWhole() })
 }
 
 // holding returns the held groups that the request has. The caller holds the lock.
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -139,6 +139,12 @@
 		{"a part and a request at once", []step{
 			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {10.1, "e2", "=E"}, {11, "e3", "A D o2 =2"}, {11.1, "e4", "=E"}, {11.1, "", "A o0"}, {12, "e5", "A D o3 =3"}, {12.1, "e6", "=E"}, {12.2, "", "A o0"},
 		}, "D " + whole('E')},
+		{"repeats of a request with a part, and then another one", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {10.4, "e2", "A D o1 =1"}, {10.9, "", "A o0"}, {11, "e3", "A D o1 =1"}, {11.9, "", "A o0"}, {12, "e4", "A D o2 =2"}, {12.1, "", "A o0"},
+		}, "D " + whole('1')},
+		{"others with the part, and repeats of one", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {10, "e1", "A D o2 =2"}, {10.4, "e2", "A D o1 =1"}, {10.5, "", "A o0"}, {11, "e3", "A D o1 =1"}, {11.1, "", "A o0"},
+		}, "D"},
 		{"the last part", []step{{9.9, "", "A o"}, {10, "e1", "A o1"}, {11, "e2", "A o1"}, {12, "e3", "A o1"}, {12.1, "", "A o9"}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
