Quarantine: collect suspects only after a change

While crashes are remembered, each request asked for the suspects, which hashed and sorted all losses (256 at most).

--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -162,6 +162,7 @@
 	for _, p := range parts {
 		q.begun.Add(xxhash.Sum64String(p), now)
 	}
+	q.collected = false
 }
 
 // addTrials adds the trials that this instance does not know.
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -77,6 +77,9 @@
 	groups map[string]*group                 // by key; held and released ones
 	told   []Suspect                         // by the coordinator
 	toldAt time.Time
+
+	suspectList []Suspect // by losses
+	collected   bool      // whether suspectList is up to date
 }
 
 // New returns a quarantine without losses and verdicts.
@@ -178,5 +181,8 @@
 	return Trial
 }
 
-// updateKept counts what is kept. The caller holds the lock.
-func (q *Quarantine) updateKept() { q.kept.Store(int64(len(q.losses) + len(q.groups) + len(q.told))) }
+// updateKept counts what is kept after a change. The caller holds the lock.
+func (q *Quarantine) updateKept() {
+	q.collected = false
+	q.kept.Store(int64(len(q.losses) + len(q.groups) + len(q.told)))
+}
--- a/internal/admission/quarantine/suspect.go
+++ b/internal/admission/quarantine/suspect.go
@@ -28,15 +28,28 @@
 	Last        time.Time // when the last of these crashes was noticed
 }
 
-// Suspects returns the suspects by the losses that this instance knows.
+// Suspects returns the suspects by the losses that this instance knows, those with the most
+// crashes first. The result must not be changed.
 func (q *Quarantine) Suspects() []Suspect {
+	if q.kept.Load() == 0 {
+		return nil
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.suspectRequests()
+	return q.own()
 }
 
-// suspectRequests returns the suspects with the most crashes. The caller holds the lock.
-func (q *Quarantine) suspectRequests() []Suspect {
+// own returns the suspects by the losses that this instance knows. It collects them again only
+// after a change, as it is called for each request. The caller holds the lock.
+func (q *Quarantine) own() []Suspect {
+	if !q.collected {
+		q.suspectList, q.collected = q.collectSuspects(), true
+	}
+	return q.suspectList
+}
+
+// collectSuspects returns the suspects with the most crashes. The caller holds the lock.
+func (q *Quarantine) collectSuspects() []Suspect {
 	byRequest := make(map[uint64]*Suspect)
 	for _, l := range q.losses {
 		if !q.countsForWhole(l) {
@@ -80,9 +93,11 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, s := range q.known(now) {
-		if s.Fingerprint == fingerprint {
-			suspect, recent = true, recent || now.Sub(s.Last) < recentTime
+	for _, list := range q.known(now) {
+		for _, s := range list {
+			if s.Fingerprint == fingerprint {
+				suspect, recent = true, recent || now.Sub(s.Last) < recentTime
+			}
 		}
 	}
 	return suspect, recent
@@ -95,17 +110,21 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(q.known(now), func(s Suspect) bool { return slices.Contains(s.Endpoints, name) })
+	for _, list := range q.known(now) {
+		if slices.ContainsFunc(list, func(s Suspect) bool { return slices.Contains(s.Endpoints, name) }) {
+			return true
+		}
+	}
+	return false
 }
 
 // known returns the own suspects and those that the coordinator told. The caller holds the
 // lock.
-func (q *Quarantine) known(now time.Time) []Suspect {
-	list := q.suspectRequests()
-	if now.Sub(q.toldAt) <= suspectMemory {
-		list = append(list, q.told...)
+func (q *Quarantine) known(now time.Time) [2][]Suspect {
+	if now.Sub(q.toldAt) > suspectMemory {
+		return [...][]Suspect{q.own(), nil}
 	}
-	return list
+	return [...][]Suspect{q.own(), q.told}
 }
 
 // countsForWhole reports whether a loss is evidence against the request as a whole. The
