Quarantine: take back crashes that did not happen, on all instances

An instance that is cut off from endpoints by resets takes each for crashed, under the requests that it loses. An endpoint that answers a request sent after it was said to have crashed has not: that, and a complete answer to an equal request, now reach every instance, and not the coordinator alone; otherwise the next one would be told the old losses again. Found by reading, and by TestEqualRequestsAreCountedTogether while it was extended (the instance that had recorded the loss went on believing in the crash).

--- a/internal/admission/permit/queue.go
+++ b/internal/admission/permit/queue.go
@@ -163,8 +163,7 @@
 	return i
 }
 
-// join adds a waiter, unless its turn would come too late, and rejects those whose turn now
-// would. The caller holds the lock.
+// join adds a waiter, unless its turn would come too late. The caller holds the lock.
 func (q *Queue) join(s *service, w *waiter, now time.Time) *Refusal {
 	at := s.ahead(&w.Request)
 	refusal := q.refusal(&w.Request, at, now)
--- a/internal/admission/quarantine/loss.go
+++ b/internal/admission/quarantine/loss.go
@@ -55,6 +55,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if l.Crashed && q.hasAnswered(l.Engine, l.At) {
+		l.Crashed = false
+	}
 	if slices.ContainsFunc(q.losses, func(k Loss) bool { return k.Engine == l.Engine && k.Prompt == l.Prompt }) {
 		return false
 	}
--- a/internal/admission/quarantine/quarantine.go
+++ b/internal/admission/quarantine/quarantine.go
@@ -78,6 +78,8 @@
 	told   []Suspect                         // by the coordinator
 	toldAt time.Time
 
+	clearances []clearance // oldest first
+
 	suspectList []Suspect // by losses
 	collected   bool      // whether suspectList is up to date
 }
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -153,7 +153,7 @@
 				q.Judge(start, at(s.seconds))
 				switch subject := prompt(s.parts); {
 				case s.engine == "" && subject.Fingerprint != 0:
-					q.RecordCompleted(subject.Fingerprint, at(s.seconds))
+					q.Clear(quarantine.Clearance{Fingerprint: subject.Fingerprint, At: at(s.seconds)}, at(s.seconds))
 				case s.engine == "":
 					q.RecordBegun(subject, at(s.seconds))
 				default:
@@ -369,7 +369,8 @@
 		}
 	}
 	g.Expect(trials).To(Equal(2))
-	g.Expect(q.RecordCompleted(prompt("=D").Fingerprint, at(3*3600))).To(HaveLen(1))
+	_, released := q.Clear(quarantine.Clearance{Fingerprint: prompt("=D").Fingerprint, At: at(3 * 3600)}, at(3*3600))
+	g.Expect(released).To(HaveLen(1))
 	g.Expect(holds(q, "=D")).To(BeFalse())
 	q.Judge(start, at(3*3600+1))
 	g.Expect(holds(q, "=D")).To(BeFalse(), "the old crashes are cleared")
@@ -395,8 +396,8 @@
 	g.Expect(recent).To(BeFalse())
 	suspect, _ := second.IsSuspect('D', at(25))
 	g.Expect(suspect).To(BeFalse(), "the coordinator has not told it again")
-	second.RecordCompleted('D', at(12))
-	first.RecordCompleted('D', at(12))
+	second.Clear(quarantine.Clearance{Fingerprint: 'D', At: at(12)}, at(12))
+	first.Clear(quarantine.Clearance{Fingerprint: 'D', At: at(12)}, at(12))
 	suspect, _ = first.IsSuspect('D', at(12))
 	g.Expect(suspect).To(BeFalse())
 	g.Expect(first.Empty()).To(BeTrue())
--- a/internal/admission/quarantine/suspect.go
+++ b/internal/admission/quarantine/suspect.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -136,23 +135,3 @@
 	at, ok := q.begun.Peek(xxhash.Sum64String(wholeOf(l.Fingerprint)))
 	return !ok || !at.After(l.At)
 }
-
-// RecordCompleted records that a request was answered completely, which clears it of earlier
-// crashes, and returns the groups that this releases.
-func (q *Quarantine) RecordCompleted(fingerprint uint64, now time.Time) []Group {
-	whole := wholeOf(fingerprint)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.begun.Add(xxhash.Sum64String(whole), now)
-	q.told = slices.DeleteFunc(q.told, func(s Suspect) bool { return s.Fingerprint == fingerprint })
-	var changed []Group
-	for _, g := range slices.Collect(maps.Values(q.groups)) {
-		if g.Held() && slices.Contains(g.Parts, whole) {
-			g.Term++
-			g.Trials, g.changed = nil, now
-			changed = append(changed, g.clone())
-		}
-	}
-	q.prune(now)
-	return changed
-}
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -191,10 +191,8 @@
 	h.quarantine.RecordLoss(l)
 }
 
-// RecordCompleted implements proxy.Preparer.
-func (h *harness) RecordCompleted(fingerprint uint64) {
-	h.quarantine.RecordCompleted(fingerprint, time.Now())
-}
+// RecordClearance implements proxy.Preparer.
+func (h *harness) RecordClearance(c quarantine.Clearance) { h.quarantine.Clear(c, time.Now()) }
 
 func (h *harness) listen(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/proxy/held.go
+++ b/internal/edge/proxy/held.go
@@ -115,6 +115,6 @@
 	s := x.subject()
 	suspect, _ := x.quarantine.IsSuspect(s.Fingerprint, time.Now())
 	if _, whole := x.quarantine.Holds(s); suspect || whole {
-		x.preparer.RecordCompleted(s.Fingerprint)
+		x.preparer.RecordClearance(quarantine.Clearance{Fingerprint: s.Fingerprint, At: time.Now()})
 	}
 }
--- a/internal/edge/proxy/held_test.go
+++ b/internal/edge/proxy/held_test.go
@@ -228,7 +228,7 @@
 		h.g.Expect(fault.From(err).Code).To(Equal(code.RequestHeld))
 		h.g.Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
 	}
-	h.quarantine.RecordCompleted(h.subjectOf(catalog.Idempotent).Fingerprint, time.Now())
+	h.RecordClearance(quarantine.Clearance{Fingerprint: h.subjectOf(catalog.Idempotent).Fingerprint, At: time.Now()})
 	h.scripts = []script{okResponse}
 	w, err := h.serveRequest(catalog.Idempotent, 3, false)
 	h.g.Expect(err).NotTo(HaveOccurred())
@@ -244,3 +244,22 @@
 	h.g.Expect(w.Code).To(Equal(http.StatusOK))
 	h.g.Expect(h.losses).To(BeEmpty())
 }
+
+// TestCrashThatDidNotHappenIsTakenBack guards against an instance that is cut off from an
+// endpoint, and makes the others believe that it crashed: it answers them.
+func TestCrashThatDidNotHappenIsTakenBack(t *testing.T) {
+	h := newHarness(t, 1, okResponse, okResponse)
+	s := h.subjectOf(catalog.Idempotent)
+	other := quarantine.Subject{Fingerprint: 99}
+	h.quarantine.RecordLoss(quarantine.NewLoss("e0@0", other, false, true, time.Now()))
+	h.g.Expect(h.quarantine.HasCrashed("e0@0", time.Now())).To(BeTrue())
+	_, err := h.serveRequest(catalog.Idempotent, 1, false)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(h.quarantine.HasCrashed("e0@0", time.Now())).To(BeFalse())
+	suspect, _ := h.quarantine.IsSuspect(99, time.Now())
+	h.g.Expect(suspect).To(BeFalse())
+	h.quarantine.RecordLoss(quarantine.NewLoss("e0@0", s, false, true, time.Now().Add(-time.Second)))
+	h.g.Expect(h.quarantine.HasCrashed("e0@0", time.Now())).To(BeFalse(), "told again, by the instance that is cut off")
+	h.quarantine.RecordLoss(quarantine.NewLoss("e0@0", s, false, true, time.Now().Add(time.Second)))
+	h.g.Expect(h.quarantine.HasCrashed("e0@0", time.Now())).To(BeTrue(), "it crashed later")
+}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -58,9 +58,9 @@
 	Permit(ctx context.Context, r PermitParams) (string, error)
 	// RecordLoss records that an endpoint lost a request.
 	RecordLoss(requestID string, l quarantine.Loss)
-	// RecordCompleted records a complete answer to a request equal to one under which
-	// endpoints crashed.
-	RecordCompleted(fingerprint uint64)
+	// RecordClearance records that an endpoint answered which was said to have crashed, or
+	// that a request was answered completely under equal ones of which endpoints crashed.
+	RecordClearance(c quarantine.Clearance)
 }
 
 // PrepareParams holds the parameters of Prepare.
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
@@ -24,6 +25,7 @@
 func (x *exchange) send(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint) (bool, error) {
 	sent := time.Now()
 	left := x.request.Deadline.Sub(sent)
+	saidCrashed := x.quarantine.HasCrashed(e.Name(), sent)
 	resp, err := x.pool.Send(ctx, x.endpointRequest(e, left))
 	err = x.pool.CheckCrash(ctx, e.Name(), e.Address, err)
 	x.logSend(lease, e, left, resp, err)
@@ -34,6 +36,9 @@
 		return x.handleSendError(ctx, err)
 	}
 	defer resp.Close()
+	if saidCrashed && resp.Status != http.StatusMisdirectedRequest {
+		x.preparer.RecordClearance(quarantine.Clearance{Endpoint: e.Name(), At: time.Now()})
+	}
 	x.reportLoad(lease, resp)
 	x.recordNotice(e, resp, sent)
 	switch {
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -111,6 +111,7 @@
 	if roll.RestoredMs > 0 {
 		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
 	}
+	f.learnClearances(roll.Clearances)
 	f.mergeHeld(roll.Held)
 	f.notices.Learn(roll.Leaving) // before Observe, which lets a starting instance serve requests with keys
 	now := time.Now()
@@ -264,7 +265,7 @@
 		Era: status.Position.Era, Version: max(status.Version, f.peerStatus.Fleet().Version), Leaving: f.notices.Recent(),
 		Held: encodeHeld(f.quarantine.Groups(now)), Limits: encodeLimits(f.notices.RecentLimits(), now),
 		Leader: f.currentLeader(), Fleet: uint32(size), FleetMs: uint32(counted.Milliseconds()), Starting: f.starting(now),
-		Suspects: encodeSuspects(f.quarantine.Suspects(), now),
+		Suspects: encodeSuspects(f.quarantine.Suspects(), now), Clearances: encodeClearances(f.quarantine.Clearances(now), now),
 	}
 	if confirmed {
 		roll.Revision = status.Position.Revision
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -30,20 +30,36 @@
 	}
 }
 
-// RecordCompleted records a complete answer to a request equal to one under which endpoints
-// crashed, and tells the coordinator.
-func (f *Forwarder) RecordCompleted(fingerprint uint64) {
-	f.clearRequest(fingerprint, "an equal request was answered")
+// RecordClearance takes back evidence, here and on the coordinator, which tells all others.
+func (f *Forwarder) RecordClearance(c quarantine.Clearance) {
+	if !f.clear(c, "it was answered here") {
+		return
+	}
 	if leader := f.currentLeader(); leader != "" && leader != f.self {
-		f.reportCompleted(f.remoteCoordinator(leader), fingerprint)
+		f.reportClearance(f.remoteCoordinator(leader), c)
+	}
+}
+
+// learnClearances takes over the clearances that another instance tells.
+func (f *Forwarder) learnClearances(list []*stagepb.Clearance) {
+	now := time.Now()
+	for _, c := range list[:min(len(list), maxToldLosses)] {
+		f.clear(quarantine.Clearance{
+			Endpoint: c.Endpoint, Fingerprint: c.Fingerprint, At: now.Add(-clamp(time.Duration(c.AgeMs) * time.Millisecond)),
+		}, "another instance said so")
 	}
 }
 
-// clearRequest clears requests with the fingerprint of the crashes under them.
-func (f *Forwarder) clearRequest(fingerprint uint64, reason string) {
-	for _, g := range f.quarantine.RecordCompleted(fingerprint, time.Now()) {
+// clear takes back evidence, and reports whether there was some.
+func (f *Forwarder) clear(c quarantine.Clearance, reason string) bool {
+	changed, released := f.quarantine.Clear(c, time.Now())
+	if changed {
+		f.log.Info("crashes taken back", "endpoint", c.Endpoint, "fingerprint", fmt.Sprintf("%016x", c.Fingerprint), "reason", reason)
+	}
+	for _, g := range released {
 		f.log.Info("verdict on requests changed", "features", g.Parts, "held", g.Held(), "term", g.Term, "reason", reason)
 	}
+	return changed
 }
 
 // tellLosses tells all that this instance knows to a new coordinator.
@@ -148,3 +164,11 @@
 	}
 	return out
 }
+
+func encodeClearances(list []quarantine.Clearance, now time.Time) []*stagepb.Clearance {
+	var out []*stagepb.Clearance
+	for _, c := range list {
+		out = append(out, &stagepb.Clearance{Endpoint: c.Endpoint, Fingerprint: c.Fingerprint, AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds()))})
+	}
+	return out
+}
--- a/internal/stage/forwarder/losses_test.go
+++ b/internal/stage/forwarder/losses_test.go
@@ -163,12 +163,17 @@
 	for _, in := range all {
 		g.Eventually(func() bool { suspect, _ := in.quarantine.IsSuspect(fingerprint, time.Now()); return suspect }, waitLimit).Should(BeTrue(), in.name)
 	}
+	all[0].RecordClearance(quarantine.Clearance{Endpoint: "e1", At: time.Now()}) // the first one was a lost answer
+	for _, in := range all {
+		g.Eventually(func() bool { return in.quarantine.HasCrashed("e1", time.Now()) }, waitLimit).Should(BeFalse(), in.name)
+	}
 	crash(2)
 	crash(0)
+	all[1].RecordLoss("r", quarantine.NewLoss("e9", deadly, false, true, time.Now()))
 	for _, in := range all {
 		g.Eventually(func() bool { held, whole := in.quarantine.Holds(deadly); return held && whole }, waitLimit).Should(BeTrue(), in.name)
 	}
-	all[2].RecordCompleted(fingerprint)
+	all[2].RecordClearance(quarantine.Clearance{Fingerprint: fingerprint, At: time.Now()})
 	for _, in := range all {
 		g.Eventually(func() bool { held, _ := in.quarantine.Holds(deadly); return held }, waitLimit).Should(BeFalse(), in.name)
 		g.Eventually(func() bool { suspect, _ := in.quarantine.IsSuspect(fingerprint, time.Now()); return suspect }, waitLimit).Should(BeFalse(), in.name)
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -44,11 +44,11 @@
 	alive    atomic.Int64 // when its process last answered a ping after a failed poll, in Unix nanoseconds; zero for never
 
 	mu       sync.Mutex
-	started  []string          // ids of orders whose inputs are no longer needed, to be sent
-	ended    []string          // ids of orders whose requests have left their engines, to be sent
-	losses   []quarantine.Loss // to be sent
-	complete []uint64          // fingerprints of requests that were answered completely, to be sent
-	flushing bool              // whether a flush is scheduled
+	started  []string               // ids of orders whose inputs are no longer needed, to be sent
+	ended    []string               // ids of orders whose requests have left their engines, to be sent
+	losses   []quarantine.Loss      // to be sent
+	cleared  []quarantine.Clearance // to be sent
+	flushing bool                   // whether a flush is scheduled
 }
 
 // remoteCoordinator returns the state kept for the instance at address. It creates a
@@ -167,12 +167,12 @@
 	f.scheduleFlush(c)
 }
 
-// reportCompleted queues the fingerprint of a request that was answered completely.
-func (f *Forwarder) reportCompleted(c *remoteCoordinator, fingerprint uint64) {
+// reportClearance queues a clearance.
+func (f *Forwarder) reportClearance(c *remoteCoordinator, cleared quarantine.Clearance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.complete) < maxPendingProgress {
-		c.complete = append(c.complete, fingerprint)
+	if len(c.cleared) < maxPendingProgress {
+		c.cleared = append(c.cleared, cleared)
 		f.scheduleFlush(c)
 	}
 }
@@ -189,8 +189,8 @@
 // entries are dropped.
 func (f *Forwarder) flushProgress(c *remoteCoordinator) {
 	c.mu.Lock()
-	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now()), Completed: c.complete}
-	c.started, c.ended, c.losses, c.complete, c.flushing = nil, nil, nil, nil, false
+	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now()), Clearances: encodeClearances(c.cleared, time.Now())}
+	c.started, c.ended, c.losses, c.cleared, c.flushing = nil, nil, nil, nil, false
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(c.ctx, progressTimeout)
 	defer cancel()
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -81,9 +81,7 @@
 		f.local.Started(in.Started)
 		f.local.Ended(in.Ended)
 		f.learnLosses(in.Losses, time.Now())
-		for _, fingerprint := range in.Completed[:min(len(in.Completed), maxToldLosses)] {
-			f.clearRequest(fingerprint, "an equal request was answered")
-		}
+		f.learnClearances(in.Clearances)
 		return proto.Marshal(&stagepb.News{})
 	})
 }
