--- a/internal/admission/quarantine/group.go
+++ b/internal/admission/quarantine/group.go
@@ -128,7 +128,7 @@
 	q.dropUnused(now)
 	var newer []Group
 	for _, in := range list {
-		if len(in.Parts) == 0 || !validParts(in.Parts) || !slices.IsSorted(in.Parts) || len(in.Trials) > maxTrials || in.Idle > wholeRetention {
+		if !in.isValid() {
 			continue
 		}
 		key := keyOf(in.Parts)
@@ -156,6 +156,12 @@
 	return newer
 }
 
+// isValid reports whether a group that another instance tells is within the limits of what is
+// kept.
+func (g Group) isValid() bool {
+	return len(g.Parts) > 0 && validParts(g.Parts) && slices.IsSorted(g.Parts) && len(g.Trials) <= maxTrials && g.Idle <= wholeRetention
+}
+
 // markSound records that an answer to a request with the parts has begun. The caller holds
 // the lock.
 func (q *Quarantine) markSound(parts []string, now time.Time) {
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -173,7 +173,7 @@
 }
 
 // Permit implements proxy.Preparer. It records its calls and answers as the test has set.
-func (h *harness) Permit(ctx context.Context, p proxy.PermitParams) (string, error) {
+func (h *harness) Permit(_ context.Context, p proxy.PermitParams) (string, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.permits = append(h.permits, p)
