Fault matrix: a status from the next process is no step back of the one before

The watcher of tables had taken the killed process's member, the new process listens on the same address, and answered before the list of members had it: it starts without a table. The check was wrong there. Readings of a member whose daemon is being started again are left out from then on; the new process is watched from its first reading, as before.

--- a/internal/bench/matrix/run.go
+++ b/internal/bench/matrix/run.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/bench/audit"
 	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
 	"github.com/jacinthstile/jacinthstile/internal/bench/fleet"
+	"github.com/jacinthstile/jacinthstile/internal/bench/member"
 	"github.com/jacinthstile/jacinthstile/internal/standin/configserver"
 	"github.com/jacinthstile/jacinthstile/internal/standin/faultinject"
 	"github.com/jacinthstile/jacinthstile/internal/table/fleettable"
@@ -56,14 +57,15 @@
 	healings       []healing
 	isCapped       map[string]bool // IDs of the requests of the capped account
 	records        []record
-	unavailable    [daemons]bool      // a fault has killed or paused the daemon
-	availableSince [daemons]time.Time // when it was available again; zero before
-	starts         [daemons]int       // how many times the daemon was restarted
-	stopped        [daemons]bool      // the daemon was stopped gracefully
-	isolated       [daemons]bool      // the daemon sees neither peers nor the newest table
-	publishedAt    time.Time          // when the last table was published
-	drainedAt      time.Time          // when the drain was in force everywhere
-	inputs         int                // number of inputs made so far
+	unavailable    [daemons]bool          // a fault has killed or paused the daemon
+	availableSince [daemons]time.Time     // when it was available again; zero before
+	ended          [daemons]member.Member // the process that was last replaced by another one; nil for none
+	starts         [daemons]int           // how many times the daemon was restarted
+	stopped        [daemons]bool          // the daemon was stopped gracefully
+	isolated       [daemons]bool          // the daemon sees neither peers nor the newest table
+	publishedAt    time.Time              // when the last table was published
+	drainedAt      time.Time              // when the drain was in force everywhere
+	inputs         int                    // number of inputs made so far
 	log            []string
 }
 
@@ -266,6 +268,7 @@
 func (r *run) startAgain(i int) {
 	r.mu.Lock()
 	r.starts[i]++
+	r.ended[i] = r.fleet.Members()[i]
 	r.mu.Unlock()
 	if err := r.fleet.StartAgain(i); err != nil {
 		r.recordError(err)
