--- a/internal/bench/matrix/run.go
+++ b/internal/bench/matrix/run.go
@@ -121,9 +121,11 @@
 	r.heal()
 	r.startStopped(ctx)
 	r.waitInForce()
-	if r.drainedAt.IsZero() {
-		r.drainedAt = time.Now()
-	}
+	r.withLock(func() {
+		if r.drainedAt.IsZero() {
+			r.drainedAt = time.Now()
+		}
+	})
 	r.checkRecovery(ctx)
 	stopWatching()
 }
