--- a/internal/bench/matrix/check.go
+++ b/internal/bench/matrix/check.go
@@ -45,7 +45,7 @@
 	}
 	leaving := func(name string) bool { return r.table.Endpoint(name).Centre == drainedCentre }
 	r.audit.CheckLeaving(leaving, r.publishedAt.Add(recoveryBound))
-	r.withLock(func() { r.audit.CheckLeavingDecisions(leaving, r.drainedAt) })
+	r.audit.CheckLeavingDecisions(leaving, r.drainedAt)
 }
 
 // checkStop checks that the stopped daemon interrupted no request.
