Proxy: hash the body of a stream once less; one place that lists limited endpoints

Each stream hashed its method, path, account and body at its first event, for a call that uses the prompt only; the order has the fingerprint already. The proxy and the coordinator each listed the endpoints with a limit that have not been tried, by the same loop: LimitedAmong serves both. No change of behaviour.

--- a/internal/edge/proxy/held.go
+++ b/internal/edge/proxy/held.go
@@ -102,7 +102,7 @@
 
 // recordBegun records that the answer to the request has begun.
 func (x *exchange) recordBegun() {
-	for _, g := range x.quarantine.RecordBegun(x.subject(), time.Now()) {
+	for _, g := range x.quarantine.RecordBegun(quarantine.Subject{Prompt: x.request.Prompt}, time.Now()) {
 		x.log.Info("verdict on requests changed", "features", g.Parts, "held", g.Held(), "reason", "an answer has begun", "request", x.request.ID)
 	}
 }
--- a/internal/edge/proxy/limited.go
+++ b/internal/edge/proxy/limited.go
@@ -19,13 +19,7 @@
 	if !x.limits.Any() {
 		return nil
 	}
-	var list []string
-	for _, e := range x.index().Accepting(x.request.Service) {
-		if name := e.Name(); x.limits.Limited(name) && !slices.Contains(x.tried, name) {
-			list = append(list, name)
-		}
-	}
-	return list
+	return x.limits.LimitedAmong(x.index().Accepting(x.request.Service), x.tried)
 }
 
 // acquireLimited gets a lease where some endpoints of the service have limits. Other endpoints
--- a/internal/routing/ratelimit/tracker.go
+++ b/internal/routing/ratelimit/tracker.go
@@ -20,6 +20,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 )
 
 const (
@@ -118,6 +120,17 @@
 	return 0, false
 }
 
+// LimitedAmong returns the names of those endpoints that have a limit and have not been tried.
+func (t *Tracker) LimitedAmong(list []*registry.Endpoint, tried []string) []string {
+	var names []string
+	for _, e := range list {
+		if name := e.Name(); t.Limited(name) && !slices.Contains(tried, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // limited returns the state of an endpoint with a limit; nil if it has none. The caller holds
 // the lock.
 func (t *Tracker) limited(name string) *state {
--- a/internal/stage/coordinator/limits.go
+++ b/internal/stage/coordinator/limits.go
@@ -52,17 +52,6 @@
 	return f
 }
 
-// limited returns the names of the endpoints that have a limit and have not been tried.
-func (c *Coordinator) limited(list []*registry.Endpoint, tried []string) []string {
-	var names []string
-	for _, e := range list {
-		if name := e.Name(); c.limits.Limited(name) && !slices.Contains(tried, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // withRoom returns the endpoints that have no limit, or whose limit has room for a request.
 func (c *Coordinator) withRoom(list []*registry.Endpoint, now time.Time) []*registry.Endpoint {
 	if !c.limits.Any() {
@@ -85,7 +74,7 @@
 		return release, nil
 	}
 	engines := c.endpoints().Accepting(o.Service)
-	names := c.limited(engines, nil)
+	names := c.limits.LimitedAmong(engines, nil)
 	if len(names) == 0 || len(names) < len(engines) {
 		return release, nil
 	}
@@ -122,9 +111,9 @@
 		}
 	}
 	now := time.Now()
-	names := c.limited(engines, o.Tried)
+	names := c.limits.LimitedAmong(engines, o.Tried)
 	if len(names) == 0 {
-		names = c.limited(engines, nil)
+		names = c.limits.LimitedAmong(engines, nil)
 	}
 	name, err := c.permits.Take(ctx, permit.Request{Service: o.Service, Endpoints: names, Rank: o.Rank, Latest: o.latestSend(now)})
 	if err != nil {
