Forwarder: a stopping coordinator gives no answer to orders that it ends

Cause: at the end of a stop the contexts of the handlers end before their connections. The order failed with the context's error, which was sent as a fault with code Internal, and a fault is the coordinator's final answer. If the connection was closed first, the order went to the next coordinator, so the test failed only now and then. A permit for an endpoint with a limit failed in the same way.

Change: errors that are no fault are returned to the transport, so the peer treats the coordinator as lost.

--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
@@ -93,6 +94,7 @@
 	version    atomic.Uint64 // of the catalog in force
 	ineligible atomic.Bool
 	silent     atomic.Bool // does not answer polls, for as long as it is set
+	interrupt  func()      // ends the work on calls of peers, whose connections stay open
 	stop       func()
 	quarantine *quarantine.Quarantine
 	limits     *ratelimit.Tracker
@@ -171,6 +173,7 @@
 		tr.Serve(ctx, l)
 	}()
 	go in.Run(ctx)
+	in.interrupt = cancel
 	in.stop = func() {
 		cancel()
 		l.Close()
@@ -181,6 +184,14 @@
 	return in
 }
 
+// failWith matches errors that are a fault with the given code.
+func failWith(c code.Code) types.GomegaMatcher {
+	return WithTransform(func(err error) bool {
+		var f *fault.Fault
+		return errors.As(err, &f) && f.Code == c
+	}, BeTrue())
+}
+
 // round returns the parameters of the first preparation of a request with two pieces.
 // The goal of the request is the time left from now, and its deadline a second later.
 func (c *cluster) round(id string, left time.Duration) proxy.PrepareParams {
@@ -233,6 +244,41 @@
 	g.Expect(a.Inputs).To(ConsistOf("weak/1", "weak/2"))
 }
 
+// TestInterruptedCoordinatorGivesNoAnswer guards against an internal error for the requests of
+// other instances when a coordinator stops and ends its work before its connections: they go on
+// as if it were lost.
+func TestInterruptedCoordinatorGivesNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	strong := c.start(t, &fakeExecutor{name: "strong", hold: make(chan struct{})}, 400) // first, so that it accepts the connection
+	weak := c.start(t, &fakeExecutor{name: "weak"}, 100)
+	claim := []ratelimit.Claim{{Endpoint: "e1@0", Limited: true, Rate: 0.5, At: time.Now()}}
+	weak.notices.LearnLimits(claim)
+	strong.notices.LearnLimits(claim)
+	g.Eventually(func() bool {
+		_, shares := weak.limits.Left("e1@0", time.Now())
+		return shares
+	}, waitLimit).Should(BeFalse(), "it follows the other one")
+	r := c.round("r1", 8*time.Second)
+	ordered, permitted := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := weak.Prepare(t.Context(), r)
+		ordered <- err
+	}()
+	go func() {
+		_, err := weak.Permit(t.Context(), proxy.PermitParams{Request: r.Request, Endpoints: []string{"e1@0"}, Latest: r.Request.Deadline})
+		permitted <- err
+	}()
+	g.Consistently(ordered, 700*time.Millisecond).ShouldNot(Receive())
+	g.Expect(permitted).NotTo(Receive(), "its turn comes later")
+	strong.interrupt()
+	var err error
+	g.Eventually(ordered, waitLimit).Should(Receive(&err))
+	g.Expect(err).NotTo(failWith(code.Internal))
+	g.Eventually(permitted, waitLimit).Should(Receive(&err))
+	g.Expect(err).NotTo(failWith(code.Internal))
+}
+
 // TestOrderStaysWithASilentCoordinator guards against starting running work again elsewhere
 // because the coordinator is slow to answer polls for a while, although it works on the
 // order and its connection lives.
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -62,8 +62,7 @@
 			return nil, err
 		}
 		o.MayTry = f.mayTry()
-		ready, err := f.local.Prepare(ctx, o)
-		return proto.Marshal(encodeOutcome(ready, err))
+		return answer(f.local.Prepare(ctx, o))
 	})
 	f.transport.HandleCancellable(method.StagePermit, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Permit
@@ -71,7 +70,7 @@
 			return nil, err
 		}
 		name, err := f.local.Permit(ctx, decodePermit(&in, time.Now()))
-		return proto.Marshal(encodeOutcome(coordinator.Prepared{Engine: name}, err))
+		return answer(coordinator.Prepared{Engine: name}, err)
 	})
 	f.transport.Handle(method.StageNews, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.News
@@ -152,8 +151,16 @@
 // clamp limits a duration of a peer's message to maxRemaining in either direction.
 func clamp(d time.Duration) time.Duration { return max(-maxRemaining, min(maxRemaining, d)) }
 
-// encodeOutcome returns the message that answers an order. An error that is not a
-// *fault.Fault is sent as an internal one.
+// answer returns the body that answers an order. If the work was ended because this instance
+// stops it returns the error, so that the peer takes the order to another coordinator.
+func answer(r coordinator.Prepared, err error) ([]byte, error) {
+	if err != nil && isLost(err) {
+		return nil, err
+	}
+	return proto.Marshal(encodeOutcome(r, err))
+}
+
+// encodeOutcome returns the message that answers an order. The error is nil or a *fault.Fault.
 func encodeOutcome(r coordinator.Prepared, err error) *stagepb.Outcome {
 	if err != nil {
 		refusal := fault.From(err)
