Quarantine: more crashes by one request do not hold back a part of its prompt

What callers saw: sound requests refused with code 1109 for a part that crashes nothing.

Cause: lets all crashes under a request that is held back as a whole count against the parts of its prompt. Requests that were on their way when the verdict came crash more engines, and sound ones with the same part are lost beside them, so the part reached five crashes.

TestVerdicts, "more crashes by one request, with sound ones that share a part", failed before.

--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -22,6 +22,10 @@
 	// learningTime is how long a coordinator learns which parts are sound before fewer
 	// crashes than certainCrashes are enough to hold one back.
 	learningTime = 10 * time.Second
+	// maxWholeEvidence is how many crashes under one request that is held back as a whole count
+	// against the parts of its prompt. A part may be the cause, but repeats of one request do not
+	// show it.
+	maxWholeEvidence = 2
 	// SettleTime is the age from which losses count: those of the same crash, seen by other
 	// instances, have arrived by then.
 	SettleTime = 150 * time.Millisecond
@@ -52,14 +56,14 @@
 	}
 }
 
-// withoutCrashes removes the evidence of crashes that verdicts explain. Those on whole requests
-// explain nothing as to prompt parts: the requests may have a part in common with others that
-// crash engines.
-func withoutCrashes(losses []Loss, explained map[string]bool, byParts bool) []Loss {
+// withoutCrashes removes the evidence of crashes that verdicts explain: that against whole requests,
+// and with parts set that against parts of prompts. A verdict on a whole request does not explain
+// its first crashes as to parts: it may have a part in common with others that crash engines.
+func withoutCrashes(losses []Loss, explained map[string]bool, parts bool) []Loss {
 	kept := losses[:0]
 	for _, l := range losses {
 		if explained[l.Engine] {
-			l.Parts = slices.DeleteFunc(l.Parts, func(f string) bool { return byParts || isWhole(f) })
+			l.Parts = slices.DeleteFunc(l.Parts, func(f string) bool { return parts || isWhole(f) })
 		}
 		if len(l.Parts) > 0 {
 			kept = append(kept, l)
@@ -71,16 +75,23 @@
 // unexplained returns the losses that count, with the features that have not been cleared and
 // whose evidence no held group explains. The caller holds the lock.
 func (q *Quarantine) unexplained(now time.Time) []Loss {
-	byParts, byWhole := make(map[string]bool), make(map[string]bool)
+	explained, byWhole := make(map[string]bool), make(map[string]bool) // engines; byWhole as to whole requests only
+	crashes := make(map[*group]map[string]bool)                        // the same engines, by the whole request that crashed them
 	for _, l := range q.losses {
 		features := append([]string{wholeOf(l.Fingerprint)}, l.Parts...)
 		for _, g := range q.groups {
 			switch {
 			case !g.Held() || !g.within(features):
 			case g.isWhole():
+				if crashes[g] == nil {
+					crashes[g] = make(map[string]bool)
+				}
+				if crashes[g][l.Engine] = true; len(crashes[g]) > maxWholeEvidence {
+					explained[l.Engine] = true
+				}
 				byWhole[l.Engine] = true
 			default:
-				byParts[l.Engine] = true
+				explained[l.Engine] = true
 			}
 		}
 	}
@@ -91,7 +102,7 @@
 			list = append(list, l)
 		}
 	}
-	return withoutCrashes(withoutCrashes(list, byParts, true), byWhole, false)
+	return withoutCrashes(withoutCrashes(list, explained, true), byWhole, false)
 }
 
 // record is the evidence against one feature.
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -145,6 +145,9 @@
 		{"others with the part, and repeats of one", []step{
 			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {10, "e1", "A D o2 =2"}, {10.4, "e2", "A D o1 =1"}, {10.5, "", "A o0"}, {11, "e3", "A D o1 =1"}, {11.1, "", "A o0"},
 		}, "D"},
+		{"more crashes by one request, with sound ones that share a part", []step{
+			{9.9, "", "A o0"}, {10, "e1", "A D o1 =1"}, {11, "e2", "A D o1 =1"}, {11.1, "", "A o0"}, {12, "e3", "A D o1 =1"}, {12.3, "e4", "A D o1 =1"}, {12.3, "e4", "A D o2 =2"}, {12.4, "e5", "A D o1 =1"}, {12.5, "", "A o0"},
+		}, whole('1')},
 		{"the last part", []step{{9.9, "", "A o"}, {10, "e1", "A o1"}, {11, "e2", "A o1"}, {12, "e3", "A o1"}, {12.1, "", "A o9"}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
