Quarantine: crashes that only the coordinator saw outlast it

What callers would see: a request that crashes endpoints of a stage crashes more of them each time the coordinator is lost.

Cause: the coordinator alone sees crashes under stage calls, and under its own requests.

Evidence: found by reading.

Change: when the coordinator changes, instances keep the suspects as losses and tell them with their own.

--- a/internal/admission/quarantine/suspect.go
+++ b/internal/admission/quarantine/suspect.go
@@ -84,6 +84,22 @@
 	q.updateKept()
 }
 
+// AdoptSuspects keeps the crashes that the coordinator told as evidence of this instance. It is for
+// when the coordinator changes: the former one may have been the only one that saw them.
+func (q *Quarantine) AdoptSuspects(now time.Time) {
+	q.mu.Lock()
+	var told []Suspect
+	if now.Sub(q.toldAt) <= suspectMemory {
+		told = slices.Clone(q.told)
+	}
+	q.mu.Unlock()
+	for _, s := range told {
+		for _, name := range s.Endpoints {
+			q.RecordLoss(Loss{Engine: name, Prompt: s.Fingerprint, Fingerprint: s.Fingerprint, Crashed: true, At: s.Last})
+		}
+	}
+}
+
 // IsSuspect reports whether an endpoint is known to have crashed under a request with the
 // fingerprint since one was last answered completely, and whether that was not long ago.
 func (q *Quarantine) IsSuspect(fingerprint uint64, now time.Time) (suspect, recent bool) {
--- a/internal/stage/forwarder/losses.go
+++ b/internal/stage/forwarder/losses.go
@@ -62,8 +62,10 @@
 	return changed
 }
 
-// tellLosses tells all that this instance knows to a new coordinator.
+// tellLosses tells all that this instance knows to a new coordinator, also what the former one
+// told.
 func (f *Forwarder) tellLosses(leader string, now time.Time) {
+	f.quarantine.AdoptSuspects(now)
 	if losses := f.quarantine.Losses(now); leader != f.self && len(losses) > 0 {
 		f.reportLosses(f.remoteCoordinator(leader), losses)
 	}
--- a/internal/stage/forwarder/losses_test.go
+++ b/internal/stage/forwarder/losses_test.go
@@ -108,6 +108,29 @@
 	g.Eventually(func() bool { return middle.holds(promptOf("A", "D", "o")) }, time.Second).Should(BeTrue())
 }
 
+// TestCrashesThatOnlyTheCoordinatorSawAreNotForgotten guards against further crashes because the coordinator
+// is lost that alone had seen the first ones, under stage calls: it told the others of the suspect.
+func TestCrashesThatOnlyTheCoordinatorSawAreNotForgotten(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	strong, middle := c.start(t, &fakeExecutor{name: "strong"}, 400), c.start(t, &fakeExecutor{name: "middle"}, 200)
+	c.start(t, &fakeExecutor{name: "weak"}, 100)
+	deadly := quarantine.Subject{Fingerprint: 77}
+	crash := func(in *instance, endpoint string) {
+		in.quarantine.RecordLoss(quarantine.NewLoss(endpoint, deadly, true, true, time.Now()))
+	}
+	time.Sleep(2 * time.Second) // until all follow the first one
+	crash(strong, "e1")
+	crash(strong, "e2")
+	g.Eventually(func() bool { return middle.quarantine.HasCrashed("e2", time.Now()) }, waitLimit).Should(BeTrue())
+	strong.stop()
+	time.Sleep(4 * time.Second)
+	held, _ := middle.quarantine.Holds(deadly)
+	g.Expect(held).To(BeFalse(), "two crashes")
+	crash(middle, "e3")
+	g.Eventually(func() bool { held, _ := middle.quarantine.Holds(deadly); return held }, time.Second).Should(BeTrue())
+}
+
 // TestWaitingOrderIsRejected guards against stage work for a request whose prompt is held
 // back while it waits.
 func TestWaitingOrderIsRejected(t *testing.T) {
