Quarantine: bound the names of endpoints that other instances tell

A message could hold names of any length as the endpoint of a loss or a suspect; parts of prompts were bounded. Found by reading; TestInvalidVerdictsAreIgnored failed before.

--- a/internal/admission/quarantine/clearance.go
+++ b/internal/admission/quarantine/clearance.go
@@ -35,7 +35,7 @@
 // Clear records a clearance. It reports whether that takes back evidence, and returns the groups
 // that it releases.
 func (q *Quarantine) Clear(c Clearance, now time.Time) (changed bool, released []Group) {
-	if len(c.Endpoint) > maxPartBytes {
+	if len(c.Endpoint) > maxNameBytes {
 		return false, nil
 	}
 	q.mu.Lock()
--- a/internal/admission/quarantine/loss.go
+++ b/internal/admission/quarantine/loss.go
@@ -13,7 +13,7 @@
 const (
 	maxLosses    = 256 // kept; the oldest are dropped first
 	maxLossParts = 256 // of a prompt
-	maxPartBytes = 256 // of the id of a part
+	maxNameBytes = 256 // of the id of a part or the name of an endpoint
 	// begunWindow is the time before a loss in which an answer to a request with a part
 	// clears the part. A part in frequent use is thus cleared at once.
 	begunWindow = 1500 * time.Millisecond
@@ -44,13 +44,16 @@
 }
 
 // validParts reports whether parts are within the limits of what is kept.
-func validParts(parts []string) bool {
-	return len(parts) <= maxLossParts && !slices.ContainsFunc(parts, func(p string) bool { return len(p) > maxPartBytes })
+func validParts(parts []string) bool { return len(parts) <= maxLossParts && validNames(parts) }
+
+// validNames reports whether no name of a part or an endpoint is too long.
+func validNames(names []string) bool {
+	return !slices.ContainsFunc(names, func(n string) bool { return len(n) > maxNameBytes })
 }
 
 // RecordLoss keeps a loss as evidence, and reports whether it is new and within the limits.
 func (q *Quarantine) RecordLoss(l Loss) bool {
-	if l.Engine == "" || !validParts(l.Parts) || len(l.Parts) == 0 && !(l.Crashed && l.Fingerprint != 0) {
+	if l.Engine == "" || len(l.Engine) > maxNameBytes || !validParts(l.Parts) || len(l.Parts) == 0 && !(l.Crashed && l.Fingerprint != 0) {
 		return false
 	}
 	q.mu.Lock()
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -342,6 +342,10 @@
 		q.Merge([]quarantine.Group{{Parts: parts, Term: 1}}, at(1))
 		g.Expect(q.RecordLoss(quarantine.Loss{Engine: "e", Parts: parts, At: at(1)}) && len(parts) != 2).To(BeFalse())
 	}
+	g.Expect(q.RecordLoss(quarantine.Loss{Engine: strings.Repeat("x", 1000), Fingerprint: 7, Crashed: true, At: at(1)})).To(BeFalse())
+	q.LearnSuspects([]quarantine.Suspect{{Fingerprint: 7, Endpoints: []string{strings.Repeat("y", 1000)}}, {Fingerprint: 8, Endpoints: strings.Split(strings.Repeat("z,", 1000), ",")}}, at(1))
+	g.Expect(q.HasCrashed(strings.Repeat("y", 1000), at(1))).To(BeFalse())
+	g.Expect(q.HasCrashed("z", at(1))).To(BeFalse())
 	g.Expect(len(q.Groups(at(1)))).To(BeNumerically("<=", 32))
 	g.Expect(len(q.Losses(at(1)))).To(BeNumerically("<=", 256))
 }
--- a/internal/admission/quarantine/suspect.go
+++ b/internal/admission/quarantine/suspect.go
@@ -76,8 +76,10 @@
 	return list[:min(maxSuspects, len(list))]
 }
 
-// LearnSuspects takes over the suspects that the coordinator tells.
+// LearnSuspects takes over the suspects that the coordinator tells, those within the limits of what is
+// kept.
 func (q *Quarantine) LearnSuspects(list []Suspect, now time.Time) {
+	list = slices.DeleteFunc(list, func(s Suspect) bool { return len(s.Endpoints) > maxLosses || !validNames(s.Endpoints) })
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.told, q.toldAt = list[:min(maxSuspects, len(list))], now
--- a/internal/stage/forwarder/fuzz_test.go
+++ b/internal/stage/forwarder/fuzz_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 		&stagepb.Roll{Candidates: []*stagepb.Candidate{{Address: "127.0.0.1:1", Power: 400, Fit: true}}, Revision: 1 << 63, Era: 1 << 63, Version: 9, RestoredMs: 1 << 31, Leaving: []string{"a@1", ""}, Held: []*stagepb.Held{{Parts: []string{"p"}, Term: 1, Trials: []string{"t"}}, {Term: 1 << 31}}},
 		&stagepb.Order{Id: "o", Request: "r", Service: "llm", Stages: []*stagepb.Stage{{Service: "s", Pieces: 2}, {Service: "s", After: []uint32{0}, Pieces: 1 << 31}}, GoalMs: -1 << 62, DeadlineMs: 1 << 62},
 		&stagepb.News{Started: []string{"o"}, Ended: []string{"o", "x"}, Losses: []*stagepb.Loss{{Engine: "e", Parts: []string{"p", "q"}, AgeMs: 1 << 31}, {}}},
+		&stagepb.Roll{Leader: "127.0.0.1:1", Fleet: 1 << 31, Starting: true, Limits: []*stagepb.Limit{{Endpoint: "e1@0", Limited: true, Rate: math.Inf(-1), AgeMs: 1 << 31}, {}}, Suspects: []*stagepb.Suspect{{Fingerprint: 7, Endpoints: []string{"e1@0", ""}}, {}}, Clearances: []*stagepb.Clearance{{Endpoint: "e1@0"}, {Fingerprint: 7, AgeMs: 1 << 31}}},
+		&stagepb.Permit{Service: "llm", Endpoints: []string{"e1@0", ""}, Rank: 1 << 31, WaitMs: 1 << 31},
 	} {
 		data, err := proto.Marshal(m)
 		if err != nil {
@@ -37,7 +40,7 @@
 		defer closeTransport()
 		body := new(stagepb.News) // carries the bytes as they are, as unknown fields
 		body.ProtoReflect().SetUnknown(data)
-		for _, m := range []method.Method{method.StageRoll, method.StageNews, method.StageOrder} {
+		for _, m := range []method.Method{method.StageRoll, method.StageNews, method.StageOrder, method.StagePermit} {
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 			tr.Call(ctx, in.address, m, body, new(stagepb.News))
 			cancel()
