Batcher: space calls to a stage all of whose endpoints limit theirs

Cause: a call went out for each job that came while any endpoint had room. Small calls used up all endpoints within a second, and as their limits refill together none had room for the next 3 s: the log shows 42 to 50 jobs in one second of four, and few between.

Change: once half of the endpoints have no room the calls of the service are spaced by what the limits give in the mean, so that each carries what came meanwhile. Without limits, or where an endpoint has none, nothing changes.

Evidence: TestLimitedEndpointsAreNotUsedUpAtOnce (12 endpoints, 20 jobs a second) failed before, 280 of 600 jobs done, want 540.

--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -53,8 +53,9 @@
 	mu           sync.Mutex
 	scheduler    *scheduler.Scheduler
 	jobs         map[string]*entry
-	workers      map[string]*worker // by endpoint name
-	contended    map[string]bool    // whether other instances use the endpoints too, by service
+	workers      map[string]*worker   // by endpoint name
+	contended    map[string]bool      // whether other instances use the endpoints too, by service
+	lastCalls    map[string]time.Time // when pieces were last sent, by service
 	inFlight     map[*batchCall]struct{}
 	pendingFrees int // calls that free results, scheduled or in flight
 }
@@ -81,7 +82,7 @@
 ) *Batcher {
 	return &Batcher{
 		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, quarantine: q, log: log, scheduler: scheduler.New(),
-		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool),
+		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool), lastCalls: make(map[string]time.Time),
 		inFlight: make(map[*batchCall]struct{}),
 	}
 }
--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -35,6 +35,9 @@
 	suspectCrashes = 2
 	// crashRetryAfter is the time after which endpoints that crashed should be back.
 	crashRetryAfter = 2 * time.Second
+	// executeShare is the share of an endpoint's limit for calls that execute pieces; the rest is
+	// for those that free their results.
+	executeShare = 0.5
 )
 
 // batchCall is one call in flight, with the pieces that it carries.
@@ -67,11 +70,12 @@
 			state = b.refreshService(name, s.Batch, now)
 		}
 		for _, e := range state.idle {
-			if b.scheduler.Waiting(name) == 0 || state.calls >= b.scheduler.MaxCalls(name) {
+			if b.scheduler.Waiting(name) == 0 || state.calls >= b.scheduler.MaxCalls(name) || state.spacing > 0 && now.Before(b.lastCalls[name].Add(state.spacing)) {
 				break
 			}
 			if b.send(e, s.Batch, state.usable <= 1, now) {
 				state.calls++
+				b.lastCalls[name] = now
 			}
 		}
 	}
--- a/internal/stage/batcher/limits_test.go
+++ b/internal/stage/batcher/limits_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -90,3 +91,44 @@
 		g.Expect(failedLate).To(BeNumerically("<=", admitted/10))
 	})
 }
+
+// TestLimitedEndpointsAreNotUsedUpAtOnce guards against jobs that are admitted and wait in vain until
+// their deadline: all endpoints of a stage have a low limit, learned at the same moment, and small calls
+// to all of them at once leave none for the jobs of the next seconds. Jobs come evenly.
+func TestLimitedEndpointsAreNotUsedUpAtOnce(t *testing.T) {
+	withFixture(t, func(g *WithT, f *fixture) {
+		const numEndpoints, rate = 12, 0.5
+		endpoints := []*registry.Endpoint{{ID: "c", Service: "second", Address: "c:1", State: registry.Ready}}
+		for i := range numEndpoints {
+			e := &registry.Endpoint{ID: fmt.Sprint("f", i), Service: "first", Address: fmt.Sprintf("f%d:1", i), State: registry.Ready}
+			endpoints = append(endpoints, e)
+			f.limits.Record(ratelimit.Claim{Endpoint: e.Name(), Limited: true, Rate: rate, At: time.Now()}, time.Now())
+		}
+		f.index.Store(registry.NewIndex(endpoints))
+		time.Sleep(10 * time.Second) // until all of them take a call
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		tried, done, failedLate := 0, 0, 0
+		for range 600 { // 20 jobs a second
+			j := f.job(1, 1, time.Second)
+			j.Deadline = time.Now().Add(2500 * time.Millisecond)
+			all.Go(func() {
+				begin := time.Now()
+				_, err := f.Prepare(context.Background(), j)
+				mu.Lock()
+				defer mu.Unlock()
+				tried++
+				if err == nil {
+					done++
+				} else if time.Since(begin) > 100*time.Millisecond {
+					failedLate++
+				}
+				f.Release(j.ID)
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		g.Expect(failedLate).To(BeNumerically("<=", tried/50), "%d of %d done", done, tried)
+		g.Expect(done).To(BeNumerically(">=", tried*9/10))
+	})
+}
--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -123,6 +123,9 @@
 	idle   []idleEndpoint // least slowed down first
 	calls  int            // in flight to all endpoints, without the overdue ones
 	usable int            // endpoints that are not in back-off after a failed call
+	// spacing is the time between two calls while all usable endpoints limit theirs and few may
+	// get one now; zero if calls need not wait for each other.
+	spacing time.Duration
 }
 
 // refreshService tells the scheduler how many calls the endpoints of a service can
@@ -130,6 +133,7 @@
 func (b *Batcher) refreshService(service string, batch *catalog.Batch, now time.Time) serviceState {
 	usable := make(map[string]float64)
 	var state serviceState
+	limited, rate := 0, 0.0 // usable endpoints that limit their calls, and the calls a second that they take
 	accepting := b.endpoints().Accepting(service)
 	use := cooldown.Usual
 	if b.pauseLeft(accepting, now) > 0 {
@@ -145,6 +149,10 @@
 		if !w.inFailureBackoff(now) {
 			usable[e.Centre] += b.callsAtOnce(e.Name(), batch, slowdown)
 			state.usable++
+			if r, ok := b.limits.Rate(e.Name()); ok {
+				limited++
+				rate += r * executeShare
+			}
 		}
 		if left, ok := b.limits.Left(e.Name(), now); !ok || left > 0 {
 			continue
@@ -153,6 +161,9 @@
 			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown, use: use})
 		}
 	}
+	if limited == state.usable && rate > 0 && len(state.idle) <= limited/2 {
+		state.spacing = time.Duration(float64(time.Second) / rate)
+	}
 	b.scheduler.UpdateService(service, *batch, usable, now)
 	if contended, share := b.scheduler.Contended(service, now); contended != b.contended[service] {
 		b.contended[service] = contended
@@ -163,12 +174,12 @@
 }
 
 // callsAtOnce returns how many calls an endpoint can work on at once. One that limits its calls
-// works on fewer, in the mean: half of its limit goes to calls that free results.
+// works on fewer, in the mean.
 func (b *Batcher) callsAtOnce(name string, batch *catalog.Batch, slowdown float64) float64 {
 	calls := float64(batch.MaxCalls) / slowdown
 	if rate, limited := b.limits.Rate(name); limited {
 		full := batch.CallOverhead + time.Duration(batch.MaxPieces)*batch.PieceTime
-		calls = min(calls, rate/2*full.Seconds())
+		calls = min(calls, rate*executeShare*full.Seconds())
 	}
 	return calls
 }
