--- a/internal/stage/batcher/call.go
+++ b/internal/stage/batcher/call.go
@@ -70,7 +70,7 @@
 			state = b.refreshService(name, s.Batch, now)
 		}
 		for _, e := range state.idle {
-			if b.scheduler.Waiting(name) == 0 || state.calls >= b.scheduler.MaxCalls(name) || state.spacing > 0 && now.Before(b.lastCalls[name].Add(state.spacing)) {
+			if b.scheduler.Waiting(name) == 0 || state.calls >= b.scheduler.MaxCalls(name) || now.Before(b.lastCalls[name].Add(state.spacing)) {
 				break
 			}
 			if b.send(e, s.Batch, state.usable <= 1, now) {
