--- a/internal/stage/batcher/limits_test.go
+++ b/internal/stage/batcher/limits_test.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
+	"github.com/jacinthstile/jacinthstile/internal/stage/job"
 )
 
 // TestLimitedEndpointGetsFewCalls guards against calls beyond the limit of an endpoint, those
@@ -59,6 +60,31 @@
 	})
 }
 
+// prepareEvenly prepares n jobs, 20 a second. It returns how many were done, and how many failed
+// after they had been admitted.
+func (f *fixture) prepareEvenly(n int, next func() *job.Job) (done, failedLate int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for range n {
+		j := next()
+		all.Go(func() {
+			begin := time.Now()
+			_, err := f.Prepare(context.Background(), j)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				done++
+			} else if time.Since(begin) > 100*time.Millisecond {
+				failedLate++
+			}
+			f.Release(j.ID)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	all.Wait()
+	return done, failedLate
+}
+
 // TestLimitsOfAllEndpointsBoundAdmission guards against jobs that are admitted and can't be
 // done in time, as all endpoints of a stage limit their calls.
 func TestLimitsOfAllEndpointsBoundAdmission(t *testing.T) {
@@ -67,26 +93,8 @@
 		for _, name := range []string{"a@0", "b@0"} {
 			f.limits.Record(ratelimit.Claim{Endpoint: name, Limited: true, Rate: 1, At: start}, start)
 		}
-		var mu sync.Mutex
-		admitted, failedLate := 0, 0
-		var all sync.WaitGroup
-		for range 200 { // 20 jobs a second of 4 pieces each, in calls of 8
-			j := f.job(4, 1, 2*time.Second)
-			all.Go(func() {
-				begin := time.Now()
-				_, err := f.Prepare(context.Background(), j)
-				mu.Lock()
-				defer mu.Unlock()
-				if err == nil {
-					admitted++
-				} else if time.Since(begin) > 100*time.Millisecond {
-					failedLate++
-				}
-				f.Release(j.ID)
-			})
-			time.Sleep(50 * time.Millisecond)
-		}
-		all.Wait()
+		// Jobs of 4 pieces, in calls of 8.
+		admitted, failedLate := f.prepareEvenly(200, func() *job.Job { return f.job(4, 1, 2*time.Second) })
 		g.Expect(admitted).To(BeNumerically(">", 10))
 		g.Expect(failedLate).To(BeNumerically("<=", admitted/10))
 	})
@@ -106,28 +114,12 @@
 		}
 		f.index.Store(registry.NewIndex(endpoints))
 		time.Sleep(10 * time.Second) // until all of them take a call
-		var mu sync.Mutex
-		var all sync.WaitGroup
-		tried, done, failedLate := 0, 0, 0
-		for range 600 { // 20 jobs a second
+		const tried = 600
+		done, failedLate := f.prepareEvenly(tried, func() *job.Job {
 			j := f.job(1, 1, time.Second)
 			j.Deadline = time.Now().Add(2500 * time.Millisecond)
-			all.Go(func() {
-				begin := time.Now()
-				_, err := f.Prepare(context.Background(), j)
-				mu.Lock()
-				defer mu.Unlock()
-				tried++
-				if err == nil {
-					done++
-				} else if time.Since(begin) > 100*time.Millisecond {
-					failedLate++
-				}
-				f.Release(j.ID)
-			})
-			time.Sleep(50 * time.Millisecond)
-		}
-		all.Wait()
+			return j
+		})
 		g.Expect(failedLate).To(BeNumerically("<=", tried/50), "%d of %d done", done, tried)
 		g.Expect(done).To(BeNumerically(">=", tried*9/10))
 	})
