Registry: the version of endpoints' software

Nothing knew the version with which an endpoint's registration names the software that runs it. It is decoded, told to other instances with the changes of the store, and logged with each send. A registration whose version is no text is unreadable, as for other fields of a wrong type; one without a version names an endpoint of unknown version. Nothing acts on it yet.

--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -61,7 +61,7 @@
 	} else {
 		outcome, status, reused = "answered", resp.Status, resp.Reused
 	}
-	x.log.Info("sent", "request", x.request.ID, "endpoint", e.ID, "state", e.State.String(), "send", x.sends, "left", left.String(),
+	x.log.Info("sent", "request", x.request.ID, "endpoint", e.ID, "version", e.Version, "state", e.State.String(), "send", x.sends, "left", left.String(),
 		"ground", lease.Reason, "after", time.Since(x.request.Received).String(), "status", status, "reused", reused, "outcome", outcome)
 }
 
--- a/internal/edge/registry/endpoint.go
+++ b/internal/edge/registry/endpoint.go
@@ -40,6 +40,7 @@
 	Centre    string
 	Slots     int // requests that it runs at a time
 	State     State
+	Version   string // of the endpoint's software; empty if not given
 }
 
 // Name returns a name that is unique to this process of the endpoint: it differs
--- a/internal/stage/forwarder/changes.go
+++ b/internal/stage/forwarder/changes.go
@@ -46,7 +46,7 @@
 		e := c.Endpoint
 		return &stagepb.Change{Kind: &stagepb.Change_Registered{Registered: &stagepb.Endpoint{
 			Id: e.ID, Born: e.StartTime, Service: e.Service, Address: e.Address, Centre: e.Centre, Slots: uint32(max(0, e.Slots)),
-			Draining: e.State == registry.Draining,
+			Draining: e.State == registry.Draining, Version: e.Version,
 		}}}
 	case change.Unregistered:
 		return &stagepb.Change{Kind: &stagepb.Change_Unregistered{Unregistered: c.ID}}
@@ -87,6 +87,6 @@
 	}
 	return registry.Endpoint{
 		ID: e.GetId(), StartTime: e.GetBorn(), Service: e.GetService(), Address: e.GetAddress(), Centre: e.GetCentre(),
-		Slots: int(e.GetSlots()), State: state,
+		Slots: int(e.GetSlots()), State: state, Version: e.GetVersion(),
 	}
 }
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -369,7 +369,7 @@
 	weak, strong := c.start(t, &fakeExecutor{name: "weak"}, 100), c.start(t, &fakeExecutor{name: "strong"}, 400)
 	changes := []change.Change{
 		change.Registered{Endpoint: registry.Endpoint{
-			ID: "e", StartTime: 7, Service: "s", Address: "10.0.0.1:80", Centre: "a", Slots: 3, State: registry.Draining,
+			ID: "e", StartTime: 7, Service: "s", Address: "10.0.0.1:80", Centre: "a", Slots: 3, State: registry.Draining, Version: "v1.1",
 		}},
 		change.Unregistered{ID: "f"},
 	}
