Streams go on only at the version of the software that began them

The cause: nothing chose by version. The software that began a stream is now its origin. One filter in the proxy binds a stream with an event out to endpoints of its origin; the coordinator and the picker choose among them. The instance that serves a stream and two others keep the origin, and a try at any instance asks for it. What nobody knows goes on only in a service with one version.

--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -28,10 +28,12 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/edge/endpointtable"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -115,6 +117,23 @@
 	}
 }
 
+// breakInsideEvent returns a script that writes some events and a part of the next one, and closes
+// the connection.
+func breakInsideEvent(events int) script {
+	return func(w net.Conn, r *http.Request) {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for i := range events {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+		}
+		fmt.Fprint(w, "4\r\nid: \r\n")
+		w.Close()
+	}
+}
+
+// countEvents returns the number of events in a response.
+func countEvents(w *httptest.ResponseRecorder) int { return strings.Count(w.Body.String(), "\n\n") }
+
 // harness runs a proxy with several endpoints. Each request that reaches any
 // endpoint takes the next script from one shared list; without a script left,
 // the endpoint closes the connection.
@@ -133,28 +152,33 @@
 
 	quarantine *quarantine.Quarantine
 	losses     []quarantine.Loss
+	origins    map[uint64]origin.Origin
+	versions   *versionset.Tracker
+	reached    []string // addresses of the endpoints that got requests
+	index      func() *registry.Index
 	listeners  map[string]net.Listener // of the endpoints, by address
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), listeners: make(map[string]net.Listener)}
+	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener)}
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
 	f := registry.New(func(all []*registry.Endpoint) {
 		index = registry.NewIndex(all)
+		h.versions.Observe(all, time.Now())
 		h.g.Expect(publisher.Publish(all)).To(gomega.Succeed())
 	})
 	for i := range endpoints {
-		f.Put(registry.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready}, time.Now())
+		f.Put(registry.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready, Version: "v1"}, time.Now())
 	}
-	h.registry = f
+	h.registry, h.index = f, func() *registry.Index { return index }
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
 	pool, closePool := connpool.New()
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), h.versions, logr.Discard())
 	return h
 }
 
@@ -183,6 +207,21 @@
 	return h.permit(p)
 }
 
+// RecordBegun implements proxy.Preparer.
+func (h *harness) RecordBegun(stream uint64, o origin.Origin) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.origins[stream] = o
+}
+
+// Origin implements proxy.Preparer.
+func (h *harness) Origin(_ context.Context, stream uint64) (origin.Origin, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o, ok := h.origins[stream]
+	return o, ok
+}
+
 // RecordLoss implements proxy.Preparer.
 func (h *harness) RecordLoss(_ string, l quarantine.Loss) {
 	h.mu.Lock()
@@ -208,13 +247,13 @@
 				return
 			}
 			t.Cleanup(func() { c.Close() })
-			go h.serve(c)
+			go h.serve(c, l.Addr().String())
 		}
 	}()
 	return l.Addr().String()
 }
 
-func (h *harness) serve(c net.Conn) {
+func (h *harness) serve(c net.Conn, address string) {
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
@@ -223,6 +262,7 @@
 		}
 		h.mu.Lock()
 		h.requests = append(h.requests, req)
+		h.reached = append(h.reached, address)
 		if len(h.scripts) == 0 {
 			h.mu.Unlock()
 			c.Close()
--- a/internal/edge/proxy/limited.go
+++ b/internal/edge/proxy/limited.go
@@ -19,7 +19,7 @@
 	if !x.limits.Any() {
 		return nil
 	}
-	return x.limits.LimitedAmong(x.index().Accepting(x.request.Service), x.tried)
+	return x.limits.LimitedAmong(x.endpoints(), x.tried)
 }
 
 // acquireLimited gets a lease where some endpoints of the service have limits. Other endpoints
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -23,9 +23,11 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -56,6 +58,11 @@
 	// instances, and returns the name of the endpoint. The error is a *fault.Fault of class
 	// "not run", or the context's error.
 	Permit(ctx context.Context, r PermitParams) (string, error)
+	// RecordBegun records which software began a stream, by the key of package origin.
+	RecordBegun(stream uint64, o origin.Origin)
+	// Origin returns which software began a stream, and false if no instance that can be
+	// asked knows it.
+	Origin(ctx context.Context, stream uint64) (origin.Origin, bool)
 	// RecordLoss records that an endpoint lost a request.
 	RecordLoss(requestID string, l quarantine.Loss)
 	// RecordClearance records that an endpoint answered which was said to have crashed, or
@@ -68,6 +75,7 @@
 	Request *request.Request
 	Round   int      // number of earlier preparations of the same request
 	Tried   []string // names of endpoints that failed or refused the request
+	Version string   // of its software that the endpoint must have; empty for any
 }
 
 // PermitParams holds the parameters of Permit.
@@ -103,19 +111,21 @@
 	quarantine  *quarantine.Quarantine
 	limits      *ratelimit.Tracker
 	notices     *notice.Recorder
+	versions    *versionset.Tracker
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
 // limits retries; q knows which prompts are held back; limits knows which endpoints limit the
-// requests of all instances; notices receives what endpoints say of themselves.
+// requests of all instances; notices receives what endpoints say of themselves; versions knows
+// which versions of their software services run.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
 	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, limits *ratelimit.Tracker,
-	notices *notice.Recorder, log logr.Logger,
+	notices *notice.Recorder, versions *versionset.Tracker, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
 		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
-		quarantine: q, limits: limits, notices: notices, log: log,
+		quarantine: q, limits: limits, notices: notices, versions: versions, log: log,
 	}
 }
 
@@ -164,11 +174,18 @@
 	crashed       bool               // whether an endpoint crashed while it ran the request
 	known         quarantine.Subject // zero before the first call of subject
 	stream        streamState
+	origin        origin.Origin // of the events that the caller holds; zero if it holds none
+	bound         bool          // the caller holds events, so that only an endpoint of the origin may go on
 }
 
 // run prepares the request if it is a stream, or held back, so that it can only be a trial. It
 // makes attempts until one decides how the request ends.
 func (x *exchange) run(ctx context.Context) error {
+	if x.request.TakesUp() {
+		if err := x.bindToOrigin(ctx); err != nil {
+			return err
+		}
+	}
 	if x.isStream() || x.isHeld() {
 		if err := x.prepare(ctx); err != nil {
 			return err
@@ -187,7 +204,7 @@
 // prepare has the inputs produced and an endpoint chosen, and ends the previous
 // preparation if there was one.
 func (x *exchange) prepare(ctx context.Context) error {
-	prepared, err := x.preparer.Prepare(ctx, PrepareParams{Request: x.request, Round: x.prepareRounds, Tried: x.tried})
+	prepared, err := x.preparer.Prepare(ctx, PrepareParams{Request: x.request, Round: x.prepareRounds, Tried: x.tried, Version: x.origin.Version})
 	x.prepareRounds++
 	if err != nil {
 		return err
@@ -218,6 +235,10 @@
 		lease.Cancel()
 		return x.retryOrFail("endpoint left", false)
 	}
+	if !x.mayGoOn(endpoint) {
+		lease.Cancel()
+		return false, x.versionFault()
+	}
 	if x.isHeld() { // by now
 		lease.Cancel()
 		return false, x.heldFault()
@@ -243,7 +264,12 @@
 		Query:       picker.Query{Role: x.request.Service, Blocks: x.blocks, Tried: x.tried, AllowTried: true},
 		LatestStart: latest,
 	}
-	if x.prepared.PreferredEndpoint != "" && !slices.Contains(x.tried, x.prepared.PreferredEndpoint) {
+	if x.bound {
+		if call.Query.Only = namesOf(x.endpoints()); len(call.Query.Only) == 0 {
+			return nil, x.versionFault()
+		}
+	}
+	if x.prepared.PreferredEndpoint != "" && !slices.Contains(x.tried, x.prepared.PreferredEndpoint) && x.mayGoOn(x.index().ByName(x.prepared.PreferredEndpoint)) {
 		if lease := x.dispatcher.AcquireNamed(call, x.prepared.PreferredEndpoint, x.prepared.Permitted); lease != nil {
 			return lease, nil
 		}
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -47,7 +47,7 @@
 	case resp.Status >= 300 || !x.codec.Signed(resp.Header):
 		return x.handleErrorResponse(ctx, lease, resp)
 	case x.isStream():
-		return x.relayStream(ctx, lease, e, resp)
+		return x.relayStream(ctx, lease, e, resp, saidCrashed)
 	default:
 		return x.relayResponse(ctx, lease, e, resp)
 	}
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -37,10 +37,11 @@
 
 // relayStream relays a stream, writing each event once it has arrived
 // completely. If the stream breaks, the route may allow resuming it on another
-// endpoint.
-func (x *exchange) relayStream(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint, resp *connpool.Response) (bool, error) {
+// endpoint. saidCrashed says whether the endpoint was said to have crashed when the
+// request was sent.
+func (x *exchange) relayStream(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint, resp *connpool.Response, saidCrashed bool) (bool, error) {
 	start := time.Now()
-	first, err := x.relayEvents(resp, start)
+	first, err := x.relayEvents(resp, start, func() { x.recordOrigin(e, saidCrashed) })
 	if err == nil {
 		x.recordCompleted()
 		lease.Done(endpointstats.Result{FirstToken: first, Tokens: x.stream.events, Blocks: x.blocks})
@@ -67,8 +68,8 @@
 }
 
 // relayEvents relays events until the stream ends, and returns the time from
-// start to the first event; zero if there was none.
-func (x *exchange) relayEvents(resp *connpool.Response, start time.Time) (time.Duration, error) {
+// start to the first event; zero if there was none. It calls begin before it writes that one.
+func (x *exchange) relayEvents(resp *connpool.Response, start time.Time, begin func()) (time.Duration, error) {
 	var first time.Duration
 	buf := make([]byte, 0, 1024)
 	for {
@@ -82,6 +83,7 @@
 				first = max(1, time.Since(start))
 				x.prepared.Started() // the endpoint reads the inputs before it sends the first event
 				x.recordBegun()
+				begin()
 				x.log.Info("first event", "request", x.request.ID, "after", time.Since(x.request.Received).String(),
 					"spare", time.Until(x.request.Goal).String())
 			}
--- a/internal/edge/registry/index.go
+++ b/internal/edge/registry/index.go
@@ -29,3 +29,19 @@
 
 // Accepting returns the endpoints of a service that accept new work.
 func (x *Index) Accepting(service string) []*Endpoint { return x.byService[service] }
+
+// AcceptingVersion returns the endpoints of a service that accept new work and whose software
+// has the version; all of them if the version is empty.
+func (x *Index) AcceptingVersion(service, version string) []*Endpoint {
+	all := x.byService[service]
+	if version == "" {
+		return all
+	}
+	var list []*Endpoint
+	for _, e := range all {
+		if e.Version == version {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- a/internal/edge/request/request.go
+++ b/internal/edge/request/request.go
@@ -35,6 +35,7 @@
 	Pieces      []int        // number of pieces of each stage of the route; empty if it needs none
 	PieceKey    string       // key from which the stages without predecessors produce their pieces
 	LastEventID string       // id of the last event that the caller has received; empty if none
+	Resumes     string       // id of the attempt that brought the first event of the stream which this one takes up; empty if none
 }
 
 // PromptPart is a part of a prompt. Requests whose prompts begin with the same
@@ -70,6 +71,11 @@
 	return max(1, h.Sum64())
 }
 
+// TakesUp reports whether the caller holds events of the stream from an earlier attempt.
+func (r *Request) TakesUp() bool {
+	return r.Route.Kind == catalog.Stream && (r.LastEventID != "" || r.Resumes != "")
+}
+
 // NeedsStages reports whether any stage must produce pieces before the request
 // can run.
 func (r *Request) NeedsStages() bool {
--- a/internal/peer/method/method.go
+++ b/internal/peer/method/method.go
@@ -34,6 +34,8 @@
 	StageNews
 	// StagePermit asks the coordinator for a request from the limits of endpoints.
 	StagePermit
+	// StageOrigin asks which software began a stream.
+	StageOrigin
 )
 
 var names = [...]string{
@@ -50,6 +52,7 @@
 	StageNews:  "stage-news",
 
 	StagePermit: "stage-permit",
+	StageOrigin: "stage-origin",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -32,6 +32,7 @@
 	FallbackServiceTime time.Duration // service time to assume if none was measured; zero for a default
 	Tried               []string      // names of endpoints that already failed this call
 	AllowTried          bool          // choose among the tried endpoints if no other is usable
+	Only                []string      // names of the endpoints that may get the call; nil for all
 	Now                 time.Time
 
 	use cooldown.Use // zero for Usual
@@ -143,7 +144,7 @@
 	var least time.Duration
 	for i := range g.members {
 		m := &g.members[i]
-		if p.stats.Leaving(m.Name) || slices.Contains(q.Tried, m.Name) {
+		if p.stats.Leaving(m.Name) || slices.Contains(q.Tried, m.Name) || !q.admits(m.Name) {
 			continue
 		}
 		if left := p.stats.Cooldown().Left(m.Name, q.Now); left > 0 && (least == 0 || left < least) {
@@ -232,10 +233,13 @@
 	return int(v.Uint64() % uint64(n))
 }
 
-// usable reports whether a member is neither leaving, nor among the tried endpoints, nor
-// in a pause, nor limits the requests of all instances. What such a limit allows is not for
+// admits reports whether the endpoint is one of those that may get the call.
+func (q *Query) admits(name string) bool { return q.Only == nil || slices.Contains(q.Only, name) }
+
+// usable reports whether a member may get the call and is neither leaving, nor among the tried
+// endpoints, nor in a pause, nor limits the requests of all instances. What such a limit allows is not for
 // one instance to take.
 func (p *Picker) usable(m *member, q *Query) bool {
-	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name) && p.stats.Cooldown().Allows(m.Name, q.use, q.Now) &&
+	return !p.stats.Leaving(m.Name) && !slices.Contains(q.Tried, m.Name) && q.admits(m.Name) && p.stats.Cooldown().Allows(m.Name, q.use, q.Now) &&
 		!p.stats.Limits().Limited(m.Name)
 }
--- a/internal/routing/picker/predict.go
+++ b/internal/routing/picker/predict.go
@@ -99,9 +99,17 @@
 // of a larger one, some random near members (in the first round), some random
 // members, and those that are believed to have a prefix of the prompt cached.
 // Leaving and tried members are left out. The random start in a small group
-// breaks ties at random.
+// breaks ties at random. Of a call that only some endpoints may get these are the
+// candidates, since random members of a large group would seldom be among them.
 func (p *Picker) collect(g *group, q *Query, cs *candidates, held []prefix.Match, round int) {
-	if n := len(g.members); n <= maxScan {
+	if n := len(q.Only); n > 0 {
+		start := p.draw(n)
+		for i := range n {
+			if m, ok := g.byName[q.Only[(start+i)%n]]; ok {
+				p.add(&g.members[m], q, cs)
+			}
+		}
+	} else if n := len(g.members); n <= maxScan {
 		start := p.draw(n)
 		for i := range n {
 			p.add(&g.members[(start+i)%n], q, cs)
--- a/internal/stage/coordinator/coordinator.go
+++ b/internal/stage/coordinator/coordinator.go
@@ -21,6 +21,8 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
@@ -49,6 +51,7 @@
 	// Fingerprint is the same for equal requests, see request.Request.Fingerprint; zero if not
 	// known.
 	Fingerprint uint64
+	Version     string   // of its software that the engine must have; empty for any
 	Tried       []string // names of engines that failed the request
 	MayTry      bool     // whether the request may be a trial, if it is held back
 	Rank        int      // scheduling priority; zero is the most urgent
@@ -102,6 +105,9 @@
 	for _, name := range o.Tried {
 		c.selector.RecordFailure(name, now)
 	}
+	if o.Version != "" && len(c.engines(o)) == 0 {
+		return Prepared{}, versionFault(o)
+	}
 	ctx, open, err := c.open(ctx, o, now)
 	if err != nil {
 		return Prepared{}, err
@@ -220,7 +226,7 @@
 	if cat := c.catalog(); cat != nil && cat.Services[o.Service] != nil && cat.Services[o.Service].Engine != nil {
 		req := cacheaware.Request{ID: o.ID, Prompt: o.Prompt}
 		now := time.Now()
-		choice := c.selector.Preview(req, c.withRoom(c.endpoints().Accepting(o.Service), now), cat.Services[o.Service].Engine.Tokens, now)
+		choice := c.selector.Preview(req, c.withRoom(c.engines(o), now), cat.Services[o.Service].Engine.Tokens, now)
 		if choice.Engine != nil {
 			firstEvent = choice.FirstEvent + networkDelay
 			o.Job.OutputCentre = choice.Engine.Centre
@@ -231,6 +237,15 @@
 	o.Job.Deadline = o.Job.Deadline.Add(-firstEvent)
 }
 
+// engines returns the engines that may run the request of an order.
+func (c *Coordinator) engines(o Order) []*registry.Endpoint {
+	return c.endpoints().AcceptingVersion(o.Service, o.Version)
+}
+
+func versionFault(o Order) *fault.Fault {
+	return fault.New(code.VersionGone, "got no endpoint of service %s with version %s", o.Service, o.Version)
+}
+
 func handles(results []job.Result) []string {
 	list := make([]string, len(results))
 	for i, r := range results {
--- a/internal/stage/coordinator/limits.go
+++ b/internal/stage/coordinator/limits.go
@@ -73,7 +73,7 @@
 	if o.Job == nil || !c.limits.Any() {
 		return release, nil
 	}
-	engines := c.endpoints().Accepting(o.Service)
+	engines := c.engines(o)
 	names := c.limits.LimitedAmong(engines, nil)
 	if len(names) == 0 || len(names) < len(engines) {
 		return release, nil
@@ -95,7 +95,10 @@
 // assign chooses the engine of a request and takes the request from its limit, if it has one.
 // It waits for the request's turn if no engine has room for it.
 func (c *Coordinator) assign(ctx context.Context, o Order, req cacheaware.Request, capacity int) (choice cacheaware.Choice, permitted bool, err error) {
-	engines := c.endpoints().Accepting(o.Service)
+	engines := c.engines(o)
+	if o.Version != "" && len(engines) == 0 {
+		return choice, false, versionFault(o) // the last one left while the stages ran
+	}
 	for {
 		now := time.Now()
 		free := c.withRoom(engines, now)
--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -188,6 +188,40 @@
 	return alone
 }
 
+// Keepers returns the addresses of the n best candidates besides this one that have answered it
+// in time. Instances that agree on the candidates get the same ones, themselves left out.
+func (e *Election) Keepers(n int, now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for _, c := range e.ranked(now) {
+		r := e.records[c.Address]
+		if len(list) < n && !r.failed && now.Sub(r.lastAnswer) <= candidateTimeout {
+			list = append(list, c.Address)
+		}
+	}
+	return list
+}
+
+// Reachable returns the addresses of instances that may answer a call: the best candidates, as
+// many as are told to others, and the seeds, this one left out.
+func (e *Election) Reachable(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for _, c := range e.ranked(now) {
+		if len(list) < MaxCandidates-1 {
+			list = append(list, c.Address)
+		}
+	}
+	for _, s := range e.seeds {
+		if s != e.self.Address && !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // TimedOut reports whether a candidate is unknown or has not answered a poll for so
 // long that calls to it should be cancelled.
 func (e *Election) TimedOut(address string, now time.Time) bool {
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
@@ -55,6 +56,8 @@
 	notices          *notice.Recorder
 	quarantine       *quarantine.Quarantine
 	limits           *ratelimit.Tracker
+	versions         *versionset.Tracker
+	origins          *origins
 	fleet            *fleetsize.Counter
 	log              logr.Logger
 
@@ -82,6 +85,7 @@
 	Notices          *notice.Recorder      // endpoints that said that they leave
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Tracker // receives the part of each limit that this instance shares out
+	Versions         *versionset.Tracker
 	PeerStatus       *peerstatus.Latest // receives what peers know, and the confirmations and changes that the leader reports
 }
 
@@ -91,11 +95,12 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
 	f.registerHandlers()
+	f.handleOrigins()
 	return f
 }
 
@@ -158,7 +163,7 @@
 func newOrder(r proxy.PrepareParams, id string) coordinator.Order {
 	req := r.Request
 	o := coordinator.Order{
-		ID: id, Request: req.ID, Service: req.Service, Prompt: req.Prompt, Tried: r.Tried, Rank: req.SchedulingPriority(), Goal: req.Goal, Deadline: req.Deadline, Fingerprint: req.Fingerprint(),
+		ID: id, Request: req.ID, Service: req.Service, Version: r.Version, Prompt: req.Prompt, Tried: r.Tried, Rank: req.SchedulingPriority(), Goal: req.Goal, Deadline: req.Deadline, Fingerprint: req.Fingerprint(),
 	}
 	if req.NeedsStages() {
 		o.Job = job.New(o.ID, req.ID, req.PieceKey, req.Route.Stages, req.Pieces, req.SchedulingPriority(), req.Goal, req.Deadline)
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -54,6 +54,7 @@
 		if f.updateLeader(now) {
 			f.tellLosses(f.election.Leader(now), now)
 		}
+		f.updateKeepers(now)
 		f.updateShare(now)
 		f.judge()
 		if !settling {
@@ -116,6 +117,7 @@
 	f.notices.Learn(roll.Leaving) // before Observe, which lets a starting instance serve requests with keys
 	now := time.Now()
 	f.notices.LearnLimits(decodeLimits(roll.Limits, now))
+	f.learnDeparted(roll.Departed, now)
 	f.fleet.RecordSize(int(roll.Fleet), time.Duration(roll.FleetMs)*time.Millisecond, now)
 	f.peerStatus.Observe(known)
 	if roll.Revision == 0 {
--- /dev/null
+++ b/internal/stage/forwarder/origins.go
@@ -0,0 +1,180 @@
+package forwarder
+
+// This file keeps which software began each stream. Nothing lasts beyond a process, so each record
+// is kept by the instance that served the first event and by numKeepers others.
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
+	"github.com/jacinthstile/jacinthstile/internal/edge/originlog"
+	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
+	"github.com/jacinthstile/jacinthstile/internal/peer/method"
+	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
+)
+
+const (
+	// numKeepers is to how many other instances each record is told: the best candidates,
+	// which all instances know.
+	numKeepers = 2
+	// beginInterval is how long records are collected for a keeper that is not the
+	// coordinator, which gets messages about most streams anyway.
+	beginInterval = 100 * time.Millisecond
+	// originTimeout is how long a stream that is taken up waits for the instances that may
+	// know its origin.
+	originTimeout  = 300 * time.Millisecond
+	maxToldStreams = 1 << 16 // in one message
+	maxToldOrigins = 256     // in one message
+)
+
+// origins holds what an instance knows of the streams that began.
+type origins struct {
+	own     *originlog.Log // of streams that this instance serves
+	kept    *originlog.Log // of streams of other instances
+	mu      sync.Mutex
+	keepers []string // addresses of the instances that keep the own ones too
+}
+
+func newOrigins() *origins { return &origins{own: originlog.New(), kept: originlog.New()} }
+
+func (o *origins) lookup(stream uint64, now time.Time) (origin.Origin, bool) {
+	if found, ok := o.own.Lookup(stream, now); ok {
+		return found, true
+	}
+	return o.kept.Lookup(stream, now)
+}
+
+func (o *origins) currentKeepers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.keepers
+}
+
+// RecordBegun records the origin of a stream whose first event has come, and tells the keepers.
+func (f *Forwarder) RecordBegun(stream uint64, o origin.Origin) {
+	f.origins.own.Record(stream, o, time.Now())
+	for _, address := range f.origins.currentKeepers() {
+		f.reportBegun(address, o, []uint64{stream})
+	}
+}
+
+func (f *Forwarder) reportBegun(address string, o origin.Origin, streams []uint64) {
+	if !o.Known() {
+		return
+	}
+	c := f.remoteCoordinator(address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun == nil {
+		c.begun = make(map[origin.Origin][]uint64)
+	}
+	if c.numBegun+len(streams) > maxToldStreams {
+		return
+	}
+	c.begun[o] = append(c.begun[o], streams...)
+	c.numBegun += len(streams)
+	f.scheduleFlush(c, beginInterval)
+}
+
+// updateKeepers chooses the keepers anew, and tells a new one all streams that this instance
+// serves.
+func (f *Forwarder) updateKeepers(now time.Time) {
+	keepers := f.election.Keepers(numKeepers, now)
+	f.origins.mu.Lock()
+	before := f.origins.keepers
+	f.origins.keepers = keepers
+	f.origins.mu.Unlock()
+	for _, address := range keepers {
+		if slices.Contains(before, address) {
+			continue
+		}
+		for o, streams := range f.origins.own.Streams(now) {
+			f.reportBegun(address, o, streams)
+		}
+	}
+}
+
+// Origin returns the software that began a stream. If this instance does not know it, those are
+// asked that may: the first answer that does counts.
+func (f *Forwarder) Origin(ctx context.Context, stream uint64) (origin.Origin, bool) {
+	if o, ok := f.origins.lookup(stream, time.Now()); ok {
+		return o, true
+	}
+	if f.waitSettled(ctx) != nil {
+		return origin.Origin{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	addresses := f.election.Reachable(time.Now())
+	answers := make(chan origin.Origin, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			out := new(stagepb.OriginAnswer)
+			if _, err := f.transport.Call(ctx, address, method.StageOrigin, &stagepb.OriginQuery{Stream: stream}, out); err != nil {
+				f.log.V(1).Info("origin of a stream not asked", "instance", address, "reason", err.Error())
+			}
+			answers <- origin.Origin{Service: out.Service, Version: out.Version}
+		}()
+	}
+	for range addresses {
+		if o := <-answers; o.Known() {
+			f.origins.kept.Record(stream, o, time.Now())
+			return o, true
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// handleOrigins registers the handler of queries for origins.
+func (f *Forwarder) handleOrigins() {
+	f.transport.Handle(method.StageOrigin, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
+		var in stagepb.OriginQuery
+		if err := proto.Unmarshal(body, &in); err != nil {
+			return nil, err
+		}
+		o, _ := f.origins.lookup(in.Stream, time.Now())
+		return proto.Marshal(&stagepb.OriginAnswer{Service: o.Service, Version: o.Version})
+	})
+}
+
+// learnBegun records the streams that another instance tells.
+func (f *Forwarder) learnBegun(list []*stagepb.Begun, now time.Time) {
+	left := maxToldStreams
+	for _, b := range list[:min(len(list), maxToldOrigins)] {
+		streams := b.Streams[:min(len(b.Streams), left)]
+		left -= len(streams)
+		for _, stream := range streams {
+			f.origins.kept.Record(stream, origin.Origin{Service: b.Service, Version: b.Version}, now)
+		}
+	}
+}
+
+func encodeBegun(begun map[origin.Origin][]uint64) []*stagepb.Begun {
+	var list []*stagepb.Begun
+	for o, streams := range begun {
+		list = append(list, &stagepb.Begun{Service: o.Service, Version: o.Version, Streams: streams})
+	}
+	return list
+}
+
+// encodeDeparted returns the message of the versions that went out of service a short time ago.
+func (f *Forwarder) encodeDeparted(now time.Time) []*stagepb.Software {
+	var list []*stagepb.Software
+	for o, at := range f.versions.Departed(now) {
+		if len(list) < maxToldOrigins {
+			list = append(list, &stagepb.Software{Service: o.Service, Version: o.Version, AgeMs: uint32(max(0, now.Sub(at).Milliseconds()))})
+		}
+	}
+	return list
+}
+
+func (f *Forwarder) learnDeparted(list []*stagepb.Software, now time.Time) {
+	for _, s := range list[:min(len(list), maxToldOrigins)] {
+		f.versions.Learn(origin.Origin{Service: s.Service, Version: s.Version}, now.Add(-clamp(time.Duration(s.AgeMs)*time.Millisecond)))
+	}
+}
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
@@ -44,11 +45,13 @@
 	alive    atomic.Int64 // when its process last answered a ping after a failed poll, in Unix nanoseconds; zero for never
 
 	mu       sync.Mutex
-	started  []string               // ids of orders whose inputs are no longer needed, to be sent
-	ended    []string               // ids of orders whose requests have left their engines, to be sent
-	losses   []quarantine.Loss      // to be sent
-	cleared  []quarantine.Clearance // to be sent
-	flushing bool                   // whether a flush is scheduled
+	started  []string                   // ids of orders whose inputs are no longer needed, to be sent
+	ended    []string                   // ids of orders whose requests have left their engines, to be sent
+	losses   []quarantine.Loss          // to be sent
+	cleared  []quarantine.Clearance     // to be sent
+	begun    map[origin.Origin][]uint64 // keys of streams, to be sent
+	numBegun int
+	flushing bool // whether a flush is scheduled
 }
 
 // remoteCoordinator returns the state kept for the instance at address. It creates a
@@ -153,7 +156,7 @@
 	}
 	c.started = append(c.started, started...)
 	c.ended = append(c.ended, ended...)
-	f.scheduleFlush(c)
+	f.scheduleFlush(c, progressInterval)
 }
 
 // reportLosses queues losses for the coordinator.
@@ -164,7 +167,7 @@
 		return
 	}
 	c.losses = append(c.losses, losses...)
-	f.scheduleFlush(c)
+	f.scheduleFlush(c, progressInterval)
 }
 
 // reportClearance queues a clearance.
@@ -173,15 +176,16 @@
 	defer c.mu.Unlock()
 	if len(c.cleared) < maxPendingProgress {
 		c.cleared = append(c.cleared, cleared)
-		f.scheduleFlush(c)
+		f.scheduleFlush(c, progressInterval)
 	}
 }
 
-// scheduleFlush schedules a flush if none is scheduled. The caller holds the lock of c.
-func (f *Forwarder) scheduleFlush(c *remoteCoordinator) {
+// scheduleFlush schedules a flush after the delay if none is scheduled. The caller holds the
+// lock of c.
+func (f *Forwarder) scheduleFlush(c *remoteCoordinator, delay time.Duration) {
 	if !c.flushing {
 		c.flushing = true
-		time.AfterFunc(progressInterval, func() { f.flushProgress(c) })
+		time.AfterFunc(delay, func() { f.flushProgress(c) })
 	}
 }
 
@@ -189,8 +193,9 @@
 // entries are dropped.
 func (f *Forwarder) flushProgress(c *remoteCoordinator) {
 	c.mu.Lock()
-	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now()), Clearances: encodeClearances(c.cleared, time.Now())}
+	progress := &stagepb.News{Started: c.started, Ended: c.ended, Losses: encodeLosses(c.losses, time.Now()), Clearances: encodeClearances(c.cleared, time.Now()), Begun: encodeBegun(c.begun)}
 	c.started, c.ended, c.losses, c.cleared, c.flushing = nil, nil, nil, nil, false
+	c.begun, c.numBegun = nil, 0
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(c.ctx, progressTimeout)
 	defer cancel()
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -48,6 +48,7 @@
 		answer := f.addChanges(f.newRoll(now), positionOf(&roll))
 		if roll.Starting || !positionOf(&roll).Known() {
 			answer.Leaving = f.notices.Known()
+			answer.Departed = f.encodeDeparted(now)
 			answer.Limits = append(answer.Limits, encodeLimits(f.notices.KnownLimits(), now)...)
 		}
 		return proto.Marshal(answer)
@@ -81,6 +82,7 @@
 		f.local.Ended(in.Ended)
 		f.learnLosses(in.Losses, time.Now())
 		f.learnClearances(in.Clearances)
+		f.learnBegun(in.Begun, time.Now())
 		return proto.Marshal(&stagepb.News{})
 	})
 }
@@ -92,7 +94,7 @@
 	o := &stagepb.Order{
 		Id: id, Request: req.ID, Key: req.PieceKey, Rank: uint32(req.SchedulingPriority()), GoalMs: time.Until(req.Goal).Milliseconds(),
 		DeadlineMs: uint64(max(0, time.Until(req.Deadline).Milliseconds())), Service: req.Service,
-		Tried: r.Tried, Fingerprint: req.Fingerprint(),
+		Version: r.Version, Tried: r.Tried, Fingerprint: req.Fingerprint(),
 	}
 	if req.NeedsStages() {
 		for i, s := range req.Route.Stages {
@@ -116,7 +118,7 @@
 	goal := now.Add(clamp(time.Duration(in.GoalMs) * time.Millisecond))
 	deadline := now.Add(clamp(time.Duration(in.DeadlineMs) * time.Millisecond))
 	o := coordinator.Order{
-		ID: in.Id, Request: in.Request, Service: in.Service, Tried: in.Tried, Rank: int(in.Rank), Goal: goal, Deadline: deadline, Fingerprint: in.Fingerprint,
+		ID: in.Id, Request: in.Request, Service: in.Service, Version: in.Version, Tried: in.Tried, Rank: int(in.Rank), Goal: goal, Deadline: deadline, Fingerprint: in.Fingerprint,
 	}
 	for _, p := range in.Prompt {
 		o.Prompt = append(o.Prompt, request.PromptPart{ID: p.Id, Tokens: int(p.Tokens)})
