--- a/cmd/jacinthstiled/main.go
+++ b/cmd/jacinthstiled/main.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jacinthstile/jacinthstile/internal/command/logger"
+	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/entry/daemon"
 	"github.com/jacinthstile/jacinthstile/internal/settings/config"
 	"github.com/jacinthstile/jacinthstile/internal/telemetry/logwriter"
@@ -86,7 +87,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	logWriter, closeLog := logwriter.New(os.Stdout)
 	defer closeLog()
-	p, cleanUp, err := platform.New(s, metrics, logger.New(logWriter, level))
+	p, cleanUp, err := platform.New(s, metrics, connpool.NewDial(), logger.New(logWriter, level))
 	if err != nil {
 		return eris.Wrap(err, "starting")
 	}
--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -38,16 +38,23 @@
 	idle           map[string][]*conn // most recently used last
 	putsSinceSweep int
 	closed         bool
-	dial           func(context.Context, string) (net.Conn, error)
+	dial           Dial
 }
 
-// New returns an empty pool and a function that closes its idle connections.
-// Connections that are in use then are closed when they are returned.
-func New() (*Pool, func()) {
+// Dial connects to a TCP address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// NewDial returns the Dial of endpoints: its connections are closed within seconds when the other end
+// no longer responds.
+func NewDial() Dial {
 	d := keepalive.NewDialer(dialTimeout)
-	p := &Pool{idle: make(map[string][]*conn), dial: func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp", address)
-	}}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+}
+
+// New returns an empty pool, which connects by dial, and a function that closes its idle
+// connections. Connections that are in use then are closed when they are returned.
+func New(dial Dial) (*Pool, func()) {
+	p := &Pool{idle: make(map[string][]*conn), dial: dial}
 	return p, p.close
 }
 
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -175,7 +175,7 @@
 	h.registry, h.index = f, func() *registry.Index { return index }
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
-	pool, closePool := connpool.New()
+	pool, closePool := connpool.New(connpool.NewDial())
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
 		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), h.versions, logr.Discard())
