Requests of an instance without a path to endpoints are served by another one

An instance now finds out that it is cut off from a service: failed connections and silence are checked by connections to three endpoints. The coordinator names instances that reach the service, and one of them serves the whole request.

--- a/internal/edge/connpool/crash.go
+++ b/internal/edge/connpool/crash.go
@@ -14,26 +14,16 @@
 const crashCheckTimeout = 150 * time.Millisecond
 
 // CheckCrash returns err, or a failure of kind Crashed if err is of kind Lost and the endpoint
-// takes no new connection. An endpoint that does has only lost the request; the connection is
-// kept for the next one.
+// takes no new connection. An endpoint that does has only lost the request.
 func (p *Pool) CheckCrash(ctx context.Context, name, address string, err error) error {
 	if err == nil || failure.KindOf(err) != failure.Lost || ctx.Err() != nil {
 		return err
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	raw, dialErr := p.dial(dialCtx, address)
-	if ctx.Err() != nil {
-		if dialErr == nil {
-			raw.Close()
-		}
+	dialErr := p.Probe(dialCtx, name, address)
+	if ctx.Err() != nil || dialErr == nil {
 		return err
 	}
-	if dialErr != nil {
-		return failure.New(failure.Crashed, err, "%s takes no connection: %v", address, dialErr)
-	}
-	c := newConn(raw, name)
-	c.expiresAt = time.Now().Add(defaultIdleTimeout)
-	p.put(c)
-	return err
+	return failure.New(failure.Crashed, err, "%s takes no connection: %v", address, dialErr)
 }
--- a/internal/edge/connpool/endless_test.go
+++ b/internal/edge/connpool/endless_test.go
@@ -58,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			address, sent := endless(t, c.start, c.rest)
-			pool, closePool := connpool.New(connpool.NewDial())
+			pool, closePool := connpool.New(connpool.NewDial(), nil)
 			defer closePool()
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -39,8 +40,38 @@
 	putsSinceSweep int
 	closed         bool
 	dial           Dial
+	observer       Observer
 }
 
+// Observer is told what happens on connections, by endpoint name. Its methods are called
+// concurrently.
+type Observer interface {
+	// Dialed reports the result of connecting, unless the caller ended it.
+	Dialed(name string, err error, now time.Time)
+	// Started reports a request that is about to be written, and Ended its end.
+	Started(name string, now time.Time)
+	Ended(name string)
+	// Heard reports that bytes of a response have come.
+	Heard(name string, now time.Time)
+}
+
+// unobserved is an Observer that does nothing.
+type unobserved struct{}
+
+var _ Observer = unobserved{}
+
+// Dialed implements Observer.
+func (unobserved) Dialed(string, error, time.Time) {}
+
+// Started implements Observer.
+func (unobserved) Started(string, time.Time) {}
+
+// Ended implements Observer.
+func (unobserved) Ended(string) {}
+
+// Heard implements Observer.
+func (unobserved) Heard(string, time.Time) {}
+
 // Dial connects to a TCP address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -51,10 +82,14 @@
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
-// New returns an empty pool, which connects by dial, and a function that closes its idle
-// connections. Connections that are in use then are closed when they are returned.
-func New(dial Dial) (*Pool, func()) {
-	p := &Pool{idle: make(map[string][]*conn), dial: dial}
+// New returns an empty pool, which connects by dial and tells an observer, if it is not nil, and a
+// function that closes its idle connections. Connections that are in use then are closed when they
+// are returned.
+func New(dial Dial, o Observer) (*Pool, func()) {
+	if o == nil {
+		o = unobserved{}
+	}
+	p := &Pool{idle: make(map[string][]*conn), dial: dial, observer: o}
 	return p, p.close
 }
 
@@ -84,13 +119,34 @@
 		}
 		c.Close()
 	}
-	raw, err := p.dial(ctx, address)
+	raw, err := p.connect(ctx, name, address)
 	if err != nil {
 		return nil, failure.New(failure.Unsent, err, "connecting to %s", address)
 	}
 	return newConn(raw, name), nil
 }
 
+// connect makes a new connection and tells the observer.
+func (p *Pool) connect(ctx context.Context, name, address string) (net.Conn, error) {
+	raw, err := p.dial(ctx, address)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		p.observer.Dialed(name, err, time.Now())
+	}
+	return raw, err
+}
+
+// Probe makes a connection to the named endpoint, which is kept for a later request.
+func (p *Pool) Probe(ctx context.Context, name, address string) error {
+	raw, err := p.connect(ctx, name, address)
+	if err != nil {
+		return err
+	}
+	c := newConn(raw, name)
+	c.expiresAt = time.Now().Add(defaultIdleTimeout)
+	p.put(c)
+	return nil
+}
+
 // take removes and returns the most recently used idle connection to the named
 // endpoint, or nil if there is none. It may no longer be usable.
 func (p *Pool) take(name string) *conn {
--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -58,10 +58,12 @@
 		return nil, err
 	}
 	resp := &Response{pool: p, conn: c, Reused: c.reused}
+	p.observer.Started(c.name, time.Now())
 	resp.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
 	if err := resp.roundTrip(r); err != nil {
 		resp.stopWatch()
 		c.Close()
+		p.observer.Ended(c.name)
 		if ctx.Err() != nil {
 			return nil, failure.New(failure.Late, ctx.Err(), "waiting for %s", r.Address)
 		}
@@ -111,6 +113,7 @@
 		if err != nil {
 			return failure.New(failure.Lost, err, "reading the answer of %s", r.Address)
 		}
+		resp.pool.observer.Heard(resp.conn.name, time.Now())
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
@@ -137,6 +140,9 @@
 // Read implements io.Reader.
 func (b bodyReader) Read(p []byte) (int, error) {
 	n, err := b.resp.raw.Body.Read(p)
+	if n > 0 {
+		b.resp.pool.observer.Heard(b.resp.conn.name, time.Now())
+	}
 	if errors.Is(err, io.EOF) {
 		b.resp.bodyRead = true
 	}
@@ -148,6 +154,7 @@
 // completely and the endpoint allows reuse. Otherwise the connection is closed.
 func (resp *Response) Close() {
 	stopped := resp.stopWatch()
+	resp.pool.observer.Ended(resp.conn.name)
 	if stopped && !resp.aborted && resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent() && resp.conn.setExpiry(resp.Header, time.Now()) {
 		resp.pool.put(resp.conn)
 		return
--- a/internal/edge/protocol/codec.go
+++ b/internal/edge/protocol/codec.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/endpointstats"
 )
 
@@ -25,6 +26,14 @@
 	LastEventID string        // id of the last event that the caller has received; empty if none
 }
 
+// RelayAttempt describes a request that another instance serves for this one.
+type RelayAttempt struct {
+	TimeLeft    time.Duration // time that the other instance may take
+	LastEventID string        // as in Attempt
+	Resumes     string        // id of the request that brought the first event; empty if none did
+	Runs        int           // sends after which the request may have run
+}
+
 // Codec encodes the headers of requests to endpoints and interprets the status
 // and headers of responses. Its methods are safe for concurrent use.
 type Codec interface {
@@ -47,6 +56,10 @@
 	// Notice returns what the endpoint says of itself in the response. The error
 	// says which header cannot be read; the rest of the notice holds.
 	Notice(status int, h http.Header) (notice.Notice, error)
+	// RelayHeader returns the headers of a request to another instance.
+	RelayHeader(req *request.Request, a RelayAttempt) http.Header
+	// RelayFault returns the fault that another instance answered with.
+	RelayFault(status int, h http.Header, body []byte) *fault.Fault
 	// StripInternal removes the response headers that are not meant for the
 	// caller.
 	StripInternal(h http.Header)
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -29,9 +29,12 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/endpointtable"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
+	"github.com/jacinthstile/jacinthstile/internal/edge/prober"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/reach"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -78,6 +81,18 @@
 	return n, nil
 }
 
+func (testCodec) RelayHeader(req *request.Request, a protocol.RelayAttempt) http.Header {
+	return http.Header{"Id": {req.ID}, "Resume": {a.LastEventID}, "Resumes": {a.Resumes}, "Runs": {strconv.Itoa(a.Runs)}}
+}
+
+func (testCodec) RelayFault(_ int, _ http.Header, body []byte) *fault.Fault {
+	n, err := strconv.Atoi(string(body))
+	if err != nil {
+		return fault.New(code.AnswerBad, "no code")
+	}
+	return fault.New(code.Code(n), "answered")
+}
+
 func (testCodec) StripInternal(h http.Header) { h.Del("Id") }
 
 // script handles one request at an endpoint by writing to the raw connection.
@@ -154,6 +169,8 @@
 	losses     []quarantine.Loss
 	origins    map[uint64]origin.Origin
 	versions   *versionset.Tracker
+	reach      *reach.Tracker
+	relays     *relays.List
 	reached    []string // addresses of the endpoints that got requests
 	index      func() *registry.Index
 	listeners  map[string]net.Listener // of the endpoints, by address
@@ -175,13 +192,20 @@
 	h.registry, h.index = f, func() *registry.Index { return index }
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
-	pool, closePool := connpool.New(connpool.NewDial())
+	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), h.versions, logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), logr.Discard())
 	return h
 }
 
+// newPaths returns the paths of an instance that reaches all services.
+func (h *harness) newPaths(pool *connpool.Pool) proxy.Paths {
+	h.reach = reach.New(func(string) string { return "s" }, logr.Discard())
+	h.relays = relays.New("a")
+	return proxy.Paths{Reach: h.reach, Prober: prober.New(h.reach, h.index, pool), Relays: h.relays}
+}
+
 // Prepare counts its calls and returns a different input for each round, unless
 // the test has set prepare.
 func (h *harness) Prepare(_ context.Context, p proxy.PrepareParams) (proxy.Prepared, error) {
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -112,20 +112,21 @@
 	limits      *ratelimit.Tracker
 	notices     *notice.Recorder
 	versions    *versionset.Tracker
+	paths       Paths
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
 // limits retries; q knows which prompts are held back; limits knows which endpoints limit the
 // requests of all instances; notices receives what endpoints say of themselves; versions knows
-// which versions of their software services run.
+// which versions of their software services run; paths knows which ones this instance can reach.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
 	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, limits *ratelimit.Tracker,
-	notices *notice.Recorder, versions *versionset.Tracker, log logr.Logger,
+	notices *notice.Recorder, versions *versionset.Tracker, paths Paths, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
 		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
-		quarantine: q, limits: limits, notices: notices, versions: versions, log: log,
+		quarantine: q, limits: limits, notices: notices, versions: versions, paths: paths, log: log,
 	}
 }
 
@@ -136,7 +137,9 @@
 func (p *Proxy) Serve(ctx context.Context, req *request.Request, w http.ResponseWriter) error {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	x := &exchange{Proxy: p, request: req, writer: w, blocks: promptBlocks(req.Prompt)}
+	x := &exchange{
+		Proxy: p, request: req, writer: w, blocks: promptBlocks(req.Prompt), possibleRuns: req.Runs, mayHaveRun: req.Runs > 0,
+	}
 	err := x.run(ctx)
 	if err == nil {
 		return nil
@@ -170,6 +173,7 @@
 	tried         []string           // names of endpoints that failed or refused the request
 	sends         int                // sends, including those that failed or were refused
 	possibleRuns  int                // failed sends after which the request may have run
+	unconnected   int                // sends for which there was no connection
 	mayHaveRun    bool               // whether the request may have run on any endpoint
 	crashed       bool               // whether an endpoint crashed while it ran the request
 	known         quarantine.Subject // zero before the first call of subject
@@ -178,9 +182,26 @@
 	bound         bool          // the caller holds events, so that only an endpoint of the origin may go on
 }
 
-// run prepares the request if it is a stream, or held back, so that it can only be a trial. It
-// makes attempts until one decides how the request ends.
+// run serves the request here, or has another instance serve it if this one has no path to its
+// service.
 func (x *exchange) run(ctx context.Context) error {
+	if x.isCutOff() {
+		if done, err := x.relay(ctx); done {
+			return err
+		}
+	}
+	err := x.runHere(ctx)
+	if err != nil && x.mayRelay(ctx, err) {
+		if done, relayErr := x.relay(ctx); done {
+			return relayErr
+		}
+	}
+	return err
+}
+
+// runHere prepares the request if it is a stream, or held back, so that it can only be a trial. It
+// makes attempts until one decides how the request ends.
+func (x *exchange) runHere(ctx context.Context) error {
 	if x.request.TakesUp() {
 		if err := x.bindToOrigin(ctx); err != nil {
 			return err
@@ -321,6 +342,7 @@
 		return false, ctx.Err()
 	}
 	if failure.KindOf(err) == failure.Unsent {
+		x.unconnected++
 		return x.retryOrFail(err.Error(), false)
 	}
 	x.mayHaveRun = true
--- /dev/null
+++ b/internal/edge/reach/tracker_test.go
@@ -0,0 +1,110 @@
+package reach_test
+
+// This file tests Tracker.
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/reach"
+)
+
+var (
+	start     = time.Unix(1000, 0)
+	errDialed = errors.New("refused")
+)
+
+func newTracker() *reach.Tracker {
+	return reach.New(func(endpoint string) string { return map[string]string{"a": "s", "b": "t"}[endpoint] }, logr.Discard())
+}
+
+// TestSuspicions guards against a path that is never checked although connections fail or hang, and
+// against checks without a reason: each one makes connections.
+func TestSuspicions(t *testing.T) {
+	for name, c := range map[string]struct {
+		events func(tr *reach.Tracker)
+		at     time.Duration
+		due    []string
+	}{
+		"nothing":                      {func(*reach.Tracker) {}, time.Hour, nil},
+		"a failed connection":          {func(tr *reach.Tracker) { tr.Dialed("a", errDialed, start) }, 0, []string{"s"}},
+		"of an unknown endpoint":       {func(tr *reach.Tracker) { tr.Dialed("x", errDialed, start) }, 0, nil},
+		"a connection":                 {func(tr *reach.Tracker) { tr.Dialed("a", nil, start) }, time.Hour, nil},
+		"silence while requests wait":  {func(tr *reach.Tracker) { tr.Started("a", start) }, time.Second, []string{"s"}},
+		"a short silence":              {func(tr *reach.Tracker) { tr.Started("a", start) }, 900 * time.Millisecond, nil},
+		"silence without requests":     {func(tr *reach.Tracker) { tr.Started("a", start); tr.Ended("a") }, time.Hour, nil},
+		"other requests are answered":  {func(tr *reach.Tracker) { tr.Started("a", start); tr.Heard("a", start.Add(time.Second)) }, 1900 * time.Millisecond, nil},
+		"a service is waited for anew": {func(tr *reach.Tracker) { tr.Started("a", start); tr.Ended("a"); tr.Started("a", start.Add(time.Hour)) }, time.Hour, nil},
+		"checked just now": {func(tr *reach.Tracker) {
+			tr.Dialed("a", errDialed, start)
+			tr.Due(start)
+			tr.Dialed("a", errDialed, start)
+		}, 300 * time.Millisecond, nil},
+		"checked a while ago": {func(tr *reach.Tracker) {
+			tr.Dialed("a", errDialed, start)
+			tr.Due(start)
+			tr.Dialed("a", errDialed, start)
+		}, 400 * time.Millisecond, []string{"s"}},
+		"cut off": {func(tr *reach.Tracker) { tr.Dialed("a", errDialed, start); tr.Due(start); tr.Checked("s", 0, 3, start) }, 400 * time.Millisecond, []string{"s"}},
+		"another service is cut off": {func(tr *reach.Tracker) {
+			tr.Dialed("b", nil, start)
+			tr.Dialed("a", errDialed, start)
+			tr.Due(start)
+			tr.Checked("s", 0, 3, start)
+			tr.Due(start)
+		}, 390 * time.Millisecond, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tr := newTracker()
+			c.events(tr)
+			g.Expect(tr.Due(start.Add(c.at))).To(Equal(c.due))
+		})
+	}
+}
+
+// TestMostEndpointsDecide guards against one endpoint that has ended being taken for a cut, and
+// against a path to a few endpoints being taken for one to the service.
+func TestMostEndpointsDecide(t *testing.T) {
+	for _, c := range []struct {
+		reached, tried int
+		cut            bool
+	}{{0, 0, false}, {0, 1, true}, {1, 1, false}, {0, 2, true}, {1, 2, false}, {0, 3, true}, {1, 3, true}, {2, 3, false}, {3, 3, false}} {
+		g := NewWithT(t)
+		tr := newTracker()
+		tr.Dialed("a", errDialed, start)
+		tr.Checked("s", c.reached, c.tried, start)
+		g.Expect(tr.CutOff("s", start)).To(Equal(c.cut), "%d of %d", c.reached, c.tried)
+		g.Expect(tr.CutOff("t", start)).To(BeFalse())
+		if c.cut {
+			g.Expect(tr.Unreachable()).To(Equal([]string{"s"}))
+		} else {
+			g.Expect(tr.Unreachable()).To(BeEmpty())
+		}
+	}
+}
+
+// TestReturnIsGradual guards against a rush of new connections when a cut ends.
+func TestReturnIsGradual(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTracker()
+	tr.Dialed("a", errDialed, start)
+	tr.Checked("s", 0, 3, start)
+	tr.Checked("s", 3, 3, start)
+	relayed := func(after time.Duration) (n int) {
+		for range 1000 {
+			if tr.CutOff("s", start.Add(after)) {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(relayed(0)).To(BeNumerically(">", 990))
+	g.Expect(relayed(500 * time.Millisecond)).To(BeNumerically("~", 500, 100))
+	g.Expect(relayed(time.Second)).To(Equal(0))
+	g.Expect(tr.Unreachable()).To(BeEmpty())
+}
--- a/internal/edge/registry/index.go
+++ b/internal/edge/registry/index.go
@@ -30,6 +30,9 @@
 // Accepting returns the endpoints of a service that accept new work.
 func (x *Index) Accepting(service string) []*Endpoint { return x.byService[service] }
 
+// NumServices returns the number of services with endpoints that accept new work.
+func (x *Index) NumServices() int { return len(x.byService) }
+
 // AcceptingVersion returns the endpoints of a service that accept new work and whose software
 // has the version; all of them if the version is empty.
 func (x *Index) AcceptingVersion(service, version string) []*Endpoint {
--- a/internal/edge/request/request.go
+++ b/internal/edge/request/request.go
@@ -31,6 +31,10 @@
 	Goal     time.Time // soft deadline: responses after it miss the route's latency goal
 	Deadline time.Time // the earlier of the caller's deadline and the route's timeout
 
+	CallerHeader http.Header // all headers as received; another instance that serves the request gets them
+	Relayed      bool        // another instance received the request, and has it served here
+	Runs         int         // of the endpoints that may have run it there
+
 	Prompt      []PromptPart // parts of the prompt in order; empty if the request is not for an engine
 	Pieces      []int        // number of pieces of each stage of the route; empty if it needs none
 	PieceKey    string       // key from which the stages without predecessors produce their pieces
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
@@ -34,6 +35,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/fleetsize"
 	"github.com/jacinthstile/jacinthstile/internal/stage/job"
+	"github.com/jacinthstile/jacinthstile/internal/stage/roster"
 	"github.com/jacinthstile/jacinthstile/internal/stage/storelag"
 )
 
@@ -58,6 +60,10 @@
 	limits           *ratelimit.Tracker
 	versions         *versionset.Tracker
 	origins          *origins
+	relay            func() relays.Relay
+	unreachable      func() []string
+	relays           *relays.List
+	roster           *roster.Roster
 	fleet            *fleetsize.Counter
 	log              logr.Logger
 
@@ -86,7 +92,10 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Tracker // receives the part of each limit that this instance shares out
 	Versions         *versionset.Tracker
-	PeerStatus       *peerstatus.Latest // receives what peers know, and the confirmations and changes that the leader reports
+	Relay            func() relays.Relay // at which this instance serves requests for others; its address is empty while it does not
+	Unreachable      func() []string     // services that this instance cannot reach
+	Relays           *relays.List        // receives the instances that serve requests for this one
+	PeerStatus       *peerstatus.Latest  // receives what peers know, and the confirmations and changes that the leader reports
 }
 
 // New returns a forwarder of the instance that peers reach at address self. It
@@ -95,7 +104,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), relay: s.Relay, unreachable: s.Unreachable, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
@@ -116,7 +125,7 @@
 		if leader == f.self {
 			break
 		}
-		p, err := f.prepareRemotely(ctx, f.remoteCoordinator(leader), r, orderID(r, attempt))
+		p, err := f.prepareRemotely(ctx, f.remoteCoordinator(leader), r, f.orderID(r, attempt))
 		if err == nil || !isLost(err) || ctx.Err() != nil {
 			return p, err
 		}
@@ -146,7 +155,7 @@
 
 // prepareLocally has this instance carry out the order itself.
 func (f *Forwarder) prepareLocally(ctx context.Context, r proxy.PrepareParams) (proxy.Prepared, error) {
-	o := newOrder(r, orderID(r, maxCoordinators))
+	o := newOrder(r, f.orderID(r, maxCoordinators))
 	o.MayTry = f.mayTry()
 	ready, err := f.local.Prepare(ctx, o)
 	if err != nil {
@@ -175,7 +184,12 @@
 // orderID returns the id of the order for one preparation of a request. It contains
 // the numbers of the round and of the attempt, so that progress reported for one order
 // does not apply to another one of the same request: the end of an order that was given
-// up may arrive after the next one, at the same coordinator.
-func orderID(r proxy.PrepareParams, attempt int) string {
-	return fmt.Sprintf("%s.%d.%d", r.Request.ID, r.Round, attempt)
+// up may arrive after the next one, at the same coordinator. The order of a request that another
+// instance received names this one, as that instance may have ordered it too.
+func (f *Forwarder) orderID(r proxy.PrepareParams, attempt int) string {
+	id := fmt.Sprintf("%s.%d.%d", r.Request.ID, r.Round, attempt)
+	if r.Request.Relayed {
+		id += "@" + f.self
+	}
+	return id
 }
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -28,6 +28,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
@@ -165,7 +166,8 @@
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, in.limits, cooldown.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
-			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, Versions: versionset.New(), PeerStatus: in.peerStatus,
+			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, Versions: versionset.New(),
+			Relay: func() relays.Relay { return relays.Relay{} }, Unreachable: func() []string { return nil }, Relays: relays.New(""), PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -55,6 +55,7 @@
 			f.tellLosses(f.election.Leader(now), now)
 		}
 		f.updateKeepers(now)
+		f.updateRelays(now)
 		f.updateShare(now)
 		f.judge()
 		if !settling {
@@ -183,6 +184,7 @@
 	f.election.RecordAnswer(address, decodeRoll(roll, now), now)
 	f.heard.CompareAndSwap(0, now.UnixNano())
 	if f.election.Leader(now) == address {
+		f.learnRelays(roll.Relays, now)
 		f.quarantine.LearnSuspects(decodeSuspects(roll.Suspects, now), now)
 	}
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
@@ -269,6 +271,8 @@
 		Leader: f.currentLeader(), Fleet: uint32(size), FleetMs: uint32(counted.Milliseconds()), Starting: f.starting(now),
 		Suspects: encodeSuspects(f.quarantine.Suspects(), now), Clearances: encodeClearances(f.quarantine.Clearances(now), now),
 	}
+	own := f.relay()
+	roll.Relay, roll.Centre, roll.Unreachable = own.Address, own.Centre, f.unreachable()
 	if confirmed {
 		roll.Revision = status.Position.Revision
 		roll.ProofMs = uint32(age.Milliseconds()) + 1
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
@@ -44,8 +45,13 @@
 		if roll.Leader == f.self && len(roll.Candidates) > 0 {
 			f.fleet.RecordFollower(roll.Candidates[0].Address, now)
 		}
+		asking := relays.Relay{Address: roll.Relay, Centre: roll.Centre}
+		f.roster.Record(asking, roll.Unreachable, now)
 		f.recordConfirmation(&roll, f.freshness.Now())
 		answer := f.addChanges(f.newRoll(now), positionOf(&roll))
+		if len(roll.Unreachable) > 0 {
+			answer.Relays = encodeRelays(f.nameRelays(asking, roll.Unreachable, now))
+		}
 		if roll.Starting || !positionOf(&roll).Known() {
 			answer.Leaving = f.notices.Known()
 			answer.Departed = f.encodeDeparted(now)
