--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/originlog"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
@@ -27,7 +28,10 @@
 	beginInterval = 100 * time.Millisecond
 	// originTimeout is how long a stream that is taken up waits for the instances that may
 	// know its origin.
-	originTimeout  = 300 * time.Millisecond
+	originTimeout = 300 * time.Millisecond
+	// originPause is the time until they are asked once more: a stream that broke soon after it
+	// began may be taken up before its record has reached the coordinator.
+	originPause    = 50 * time.Millisecond
 	maxToldStreams = 1 << 16 // in one message
 	maxToldOrigins = 256     // in one message
 )
@@ -100,7 +104,7 @@
 }
 
 // Origin returns the software that began a stream. If this instance does not know it, those are
-// asked that may: the first answer that does counts.
+// asked that may.
 func (f *Forwarder) Origin(ctx context.Context, stream uint64) (origin.Origin, bool) {
 	if o, ok := f.origins.lookup(stream, time.Now()); ok {
 		return o, true
@@ -110,6 +114,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
+	o, ok := f.askOrigin(ctx, stream)
+	if !ok && pause.For(ctx, originPause) {
+		return f.askOrigin(ctx, stream)
+	}
+	return o, ok
+}
+
+// askOrigin asks the instances that may know a stream. The first answer that does counts.
+func (f *Forwarder) askOrigin(ctx context.Context, stream uint64) (origin.Origin, bool) {
 	addresses := f.election.Reachable(time.Now())
 	answers := make(chan origin.Origin, len(addresses))
 	for _, address := range addresses {
