Keepalive: a sound endpoint that is silent for a second keeps its connections

A user timeout that is set decides when unanswered keep-alive probes end a connection, whatever their count: with probes after 2 s and a timeout of 2.5 s the first unanswered probe ended a quiet connection at 3 s, although the other end had been silent for as little as a few milliseconds around the probe. A stream that waits for its next event was lost by it.

Probes begin after 1 s now, and the timeout is 3.2 s, so that an endpoint may be silent for 2 s at any moment. A dead one is still noticed within 4 s.

--- a/internal/base/keepalive/keepalive.go
+++ b/internal/base/keepalive/keepalive.go
@@ -18,14 +18,14 @@
 
 const (
 	// A connection without traffic is closed after 4 s: TCP keep-alive probes start
-	// after 2 s, and two unanswered ones close the connection.
-	probeIdle     = 2 * time.Second
+	// after 1 s, and the first one that is due after unackedTimeout and follows an unanswered one
+	// closes the connection. With that timeout set the kernel ignores the count of probes.
+	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 2
-	// unackedTimeout is the time after which unacknowledged data closes a connection.
-	// It is three times the kernel's retransmission timeout for a packet that was
-	// lost twice, at the round-trip times within one continent.
-	unackedTimeout = 2500 * time.Millisecond
+	probeCount    = 3
+	// unackedTimeout is the time after which unacknowledged data closes a connection. It leaves a
+	// sound endpoint that is silent for up to 2 s, at any moment, the time to answer a probe.
+	unackedTimeout = 3200 * time.Millisecond
 )
 
 var probes = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
