--- a/internal/bench/audit/audit.go
+++ b/internal/bench/audit/audit.go
@@ -7,7 +7,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/bench/caller"
 	"github.com/jacinthstile/jacinthstile/internal/result/class"
@@ -79,7 +81,7 @@
 	}
 	for body, n := range bookings {
 		if n > 1 {
-			a.Add(AtMostOnce, "booking %s ran %d times", body, n)
+			a.Add(AtMostOnce, "booking %s ran %d times: %s", body, n, a.describe(body))
 		}
 	}
 	for i, o := range a.Outcomes {
@@ -87,6 +89,18 @@
 	}
 }
 
+// describe returns the executions of a booking, which tell whose they are.
+func (a *Audit) describe(body string) string {
+	var list []string
+	for _, e := range a.Entries {
+		if e.Body == body {
+			list = append(list, fmt.Sprintf("%s of request %s at %s, arrived %s, began %s, ended %s", e.Stage, e.Request, e.Endpoint,
+				e.Arrival.Format(time.StampMicro), e.Start.Format(time.StampMicro), e.End.Format(time.StampMicro)))
+		}
+	}
+	return strings.Join(list, "; ")
+}
+
 func (a *Audit) checkOutcome(i int, o caller.Outcome, runs int, bookings map[string]int) {
 	switch o.Verdict {
 	case caller.Wrong:
