Brittle endpoints: no more requests than there is room for

An instance now has its part of the slots of such endpoints, and pauses after a rejection for as long as the fleet needs to stay below the number.

--- a/internal/edge/notice/notice.go
+++ b/internal/edge/notice/notice.go
@@ -12,6 +12,10 @@
 	Leaving bool
 	Pause   time.Duration // zero for none
 	Limit   Limit
+	Full    bool // the endpoint rejected the request for want of room
+	// Brittle is the number of requests a second that the endpoint bears to reject so, from all
+	// instances together; zero if it names none.
+	Brittle float64
 	Rate    float64 // requests a second that the endpoint takes from all instances together; zero unless Limit is Named
 }
 
--- a/internal/edge/notice/recorder.go
+++ b/internal/edge/notice/recorder.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 )
@@ -35,6 +36,7 @@
 	registry *registry.Registry
 	cooldown *cooldown.Tracker
 	limits   *ratelimit.Tracker
+	brittle  *brittle.Tracker
 	log      logr.Logger
 	leaving  tally.Counter
 	pauses   tally.Counter
@@ -51,18 +53,31 @@
 }
 
 // New returns a recorder that marks leaving processes in r, starts pauses in c and records
-// limits in l.
-func New(r *registry.Registry, c *cooldown.Tracker, l *ratelimit.Tracker, log logr.Logger, scope tally.Scope) *Recorder {
+// limits in l and brittle endpoints in b.
+func New(r *registry.Registry, c *cooldown.Tracker, l *ratelimit.Tracker, b *brittle.Tracker, log logr.Logger, scope tally.Scope) *Recorder {
 	return &Recorder{
-		registry: r, cooldown: c, limits: l, log: log,
+		registry: r, cooldown: c, limits: l, brittle: b, log: log,
 		leaving: scope.Counter("endpoints_leaving"), pauses: scope.Counter("endpoint_pauses"), limited: scope.Counter("endpoint_limits"),
 	}
 }
 
+// numCoordinators is how many instances are taken to send stage calls: while one follows another,
+// two may.
+const numCoordinators = 2
+
 // Record records the notice in a response of an endpoint to a request that was sent at the
 // given time.
-func (r *Recorder) Record(e *registry.Endpoint, n Notice, sent time.Time) {
+func (r *Recorder) Record(e *registry.Endpoint, n Notice, sent time.Time) { r.record(e, n, sent, 0) }
+
+// RecordCall is Record for a stage call, which only coordinators send.
+func (r *Recorder) RecordCall(e *registry.Endpoint, n Notice, sent time.Time) {
+	r.record(e, n, sent, numCoordinators)
+}
+
+// record records a notice. Zero senders means all instances.
+func (r *Recorder) record(e *registry.Endpoint, n Notice, sent time.Time, senders int) {
 	now := time.Now()
+	r.recordBrittle(e, n, senders, now)
 	r.recordLimit(e, n, sent, now)
 	if n.Leaving {
 		r.markLeaving(e.Name(), "the endpoint said so", now)
@@ -74,6 +89,25 @@
 	}
 }
 
+// recordBrittle records whether the endpoint is brittle, and whether it rejected a request for want
+// of room.
+func (r *Recorder) recordBrittle(e *registry.Endpoint, n Notice, senders int, now time.Time) {
+	switch {
+	case n.Brittle > 0:
+		if r.brittle.Record(e.Service, n.Brittle, e.Slots, now) {
+			r.log.Info("endpoints are brittle", "service", e.Service, "rejections", n.Brittle, "endpoint", e.ID)
+		}
+	case n.Limit != Untold && r.brittle.Forget(e.Service):
+		r.log.Info("endpoints are no longer brittle", "service", e.Service)
+	}
+	if !n.Full {
+		return
+	}
+	if pause := r.brittle.Reject(e.Service, e.Name(), senders, now); pause > 0 {
+		r.log.Info("brittle endpoint rejected a request", "endpoint", e.ID, "service", e.Service, "pause", pause.String())
+	}
+}
+
 func (r *Recorder) recordLimit(e *registry.Endpoint, n Notice, sent, now time.Time) {
 	claim := ratelimit.Claim{Endpoint: e.Name(), At: sent}
 	switch n.Limit {
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -195,7 +195,7 @@
 	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), logr.Discard())
 	return h
 }
 
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -107,7 +107,7 @@
 func (d *Dispatcher) AcquireNamed(c Call, name string, permitted bool) *Lease {
 	table := d.tables.Current()
 	c.Query.Now = time.Now()
-	if !picker.Allowed(table, d.stats, name) || !permitted && d.stats.Limits().Limited(name) || !d.stats.Cooldown().Take(name, cooldown.Usual, c.Query.Now) {
+	if !picker.Allowed(table, d.stats, name) || !permitted && d.stats.Limits().Limited(name) || !d.stats.HasRoom(c.Query.Role, name, c.Query.Now) || !d.stats.Cooldown().Take(name, cooldown.Usual, c.Query.Now) {
 		return nil
 	}
 	return d.newLease(c, table, picker.Choice{Endpoint: table.Endpoint(name), Reason: picker.Reason{Code: picker.ByCoordinator}})
--- a/internal/routing/endpointstats/tracker.go
+++ b/internal/routing/endpointstats/tracker.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/prefix"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
@@ -30,6 +31,7 @@
 	leaving atomic.Pointer[map[string]bool]
 	pauses  *cooldown.Tracker
 	limits  *ratelimit.Tracker
+	brittle *brittle.Tracker
 }
 
 type shard struct {
@@ -39,7 +41,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	t := &Tracker{index: prefix.NewIndex(), pauses: cooldown.New(), limits: ratelimit.New()}
+	t := &Tracker{index: prefix.NewIndex(), pauses: cooldown.New(), limits: ratelimit.New(), brittle: brittle.New()}
 	for i := range t.shards {
 		t.shards[i].entries = make(map[string]*Entry)
 	}
@@ -129,6 +131,15 @@
 // Limits returns the limits that endpoints named for all instances.
 func (t *Tracker) Limits() *ratelimit.Tracker { return t.limits }
 
+// Brittle returns the endpoints that fall over if they reject too many requests.
+func (t *Tracker) Brittle() *brittle.Tracker { return t.brittle }
+
+// HasRoom reports whether this instance may send one more request to an endpoint of a service, which
+// may be brittle.
+func (t *Tracker) HasRoom(service, name string, now time.Time) bool {
+	return t.brittle.HasRoom(service, name, t.Get(name).InFlight, now)
+}
+
 // SetLeaving replaces the set of endpoints that are leaving, which must get no
 // new calls. The caller must not change the map afterwards.
 func (t *Tracker) SetLeaving(names map[string]bool) { t.leaving.Store(&names) }
--- a/internal/routing/picker/predict.go
+++ b/internal/routing/picker/predict.go
@@ -153,6 +153,7 @@
 	}
 	c := &cs.list[cs.n]
 	*c = candidate{member: m, stat: m.stats.Get()}
+	c.full = !p.stats.Brittle().HasRoom(m.Role, m.Name, c.stat.InFlight, q.Now)
 	cs.n++
 	return c
 }
@@ -206,7 +207,7 @@
 	}
 	c.slots *= c.weight
 	c.load = loadOf(&c.stat, othersPerOwn, now)
-	c.full = c.isFull()
+	c.full = c.full || c.isFull()
 }
 
 // latencyOf returns the measured latency, or the mean age of the calls in flight
--- a/internal/stage/batcher/batcher.go
+++ b/internal/stage/batcher/batcher.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/executor"
@@ -47,6 +48,7 @@
 	executor   executor.Executor
 	pauses     *cooldown.Tracker
 	limits     *ratelimit.Tracker
+	brittle    *brittle.Tracker
 	quarantine *quarantine.Quarantine
 	log        logr.Logger
 
@@ -75,13 +77,13 @@
 
 // New returns a Batcher without jobs. The function currentCatalog returns nil while
 // there is no catalog; currentEndpoints returns the index of the known endpoints; pauses
-// holds those of them that asked for a pause, and limits those that limit the calls of all
-// instances; q learns under which jobs endpoints crash.
+// holds those of them that asked for a pause, limits those that limit the calls of all
+// instances, and frail those that are brittle; q learns under which jobs endpoints crash.
 func New(currentCatalog func() *catalog.Catalog, currentEndpoints func() *registry.Index, e executor.Executor, pauses *cooldown.Tracker,
-	limits *ratelimit.Tracker, q *quarantine.Quarantine, log logr.Logger,
+	limits *ratelimit.Tracker, frail *brittle.Tracker, q *quarantine.Quarantine, log logr.Logger,
 ) *Batcher {
 	return &Batcher{
-		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, quarantine: q, log: log, scheduler: scheduler.New(),
+		catalog: currentCatalog, endpoints: currentEndpoints, executor: e, pauses: pauses, limits: limits, brittle: frail, quarantine: q, log: log, scheduler: scheduler.New(),
 		jobs: make(map[string]*entry), workers: make(map[string]*worker), contended: make(map[string]bool), lastCalls: make(map[string]time.Time),
 		inFlight: make(map[*batchCall]struct{}),
 	}
--- a/internal/stage/batcher/batcher_test.go
+++ b/internal/stage/batcher/batcher_test.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/batcher"
@@ -178,7 +179,7 @@
 			{ID: "b", Service: "first", Address: "b:1", State: registry.Ready},
 			{ID: "c", Service: "second", Address: "c:1", State: registry.Ready},
 		}))
-		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, f.limits, f.quarantine, logr.Discard())
+		f.Batcher = batcher.New(func() *catalog.Catalog { return c }, f.index.Load, f.executor, f.pauses, f.limits, brittle.New(), f.quarantine, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -543,7 +544,7 @@
 // that has just been restarted and has no catalog yet.
 func TestPrepareBeforeFirstCatalog(t *testing.T) {
 	g := NewWithT(t)
-	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), ratelimit.New(), quarantine.New(), logr.Discard())
+	b := batcher.New(func() *catalog.Catalog { return nil }, func() *registry.Index { return registry.NewIndex(nil) }, newFakeExecutor(), cooldown.New(), ratelimit.New(), brittle.New(), quarantine.New(), logr.Discard())
 	now := time.Now()
 	j := job.New("j", "j", "key", []catalog.Stage{{Service: "first"}}, []int{1}, 0, now.Add(time.Second), now.Add(2*time.Second))
 	_, err := b.Prepare(context.Background(), j)
--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -157,6 +157,9 @@
 		if left, ok := b.limits.Left(e.Name(), now); !ok || left > 0 {
 			continue
 		}
+		if !b.brittle.HasRoom(service, e.Name(), 0, now) {
+			continue // it has rejected a call; as many are in flight as it works on
+		}
 		if w.calls < batch.MaxCalls && !w.inBackoff(now) {
 			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown, use: use})
 		}
--- a/internal/stage/coordinator/coordinator_test.go
+++ b/internal/stage/coordinator/coordinator_test.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
@@ -65,7 +66,7 @@
 		cat := &catalog.Catalog{Services: map[string]*catalog.Service{"s": {Batch: &catalog.Batch{MaxPieces: 10, MaxCalls: 1}}}}
 		catalogNow := func() *catalog.Catalog { return cat }
 		endpointsNow := func() *registry.Index { return registry.NewIndex(nil) }
-		b := batcher.New(catalogNow, endpointsNow, failingExecutor{}, cooldown.New(), ratelimit.New(), quarantine.New(), log)
+		b := batcher.New(catalogNow, endpointsNow, failingExecutor{}, cooldown.New(), ratelimit.New(), brittle.New(), quarantine.New(), log)
 		c := coordinator.New(b, cacheaware.New(), quarantine.New(), ratelimit.New(), cooldown.New(), catalogNow, endpointsNow, log)
 		refuse := func(o coordinator.Order) {
 			_, err := c.Prepare(t.Context(), o)
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
 	"github.com/jacinthstile/jacinthstile/internal/stage/coordinator"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -60,6 +61,7 @@
 	limits           *ratelimit.Tracker
 	versions         *versionset.Tracker
 	origins          *origins
+	brittle          *brittle.Tracker
 	relay            func() relays.Relay
 	unreachable      func() []string
 	relays           *relays.List
@@ -92,6 +94,7 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Tracker // receives the part of each limit that this instance shares out
 	Versions         *versionset.Tracker
+	Brittle          *brittle.Tracker    // receives how many instances there are
 	Relay            func() relays.Relay // at which this instance serves requests for others; its address is empty while it does not
 	Unreachable      func() []string     // services that this instance cannot reach
 	Relays           *relays.List        // receives the instances that serve requests for this one
@@ -104,7 +107,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), relay: s.Relay, unreachable: s.Unreachable, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -36,6 +36,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+	"github.com/jacinthstile/jacinthstile/internal/routing/brittle"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cacheaware"
 	"github.com/jacinthstile/jacinthstile/internal/routing/cooldown"
 	"github.com/jacinthstile/jacinthstile/internal/routing/ratelimit"
@@ -154,19 +155,19 @@
 	catalogNow := func() *catalog.Catalog { return c.catalog }
 	endpointsNow := func() *registry.Index { return c.index }
 	in.limits, in.quarantine = ratelimit.New(), quarantine.New()
-	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), in.limits, in.quarantine, logr.Discard())
+	bt := batcher.New(catalogNow, endpointsNow, in.fakeExecutor, cooldown.New(), in.limits, brittle.New(), in.quarantine, logr.Discard())
 	current := freshness.New(boottime.Now)
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started}
 	in.history, in.peerStatus = history.New(), peerstatus.New()
 	in.registry = registry.New(func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
-	in.notices = notice.New(in.registry, cooldown.New(), in.limits, logr.Discard(), tally.NoopScope)
+	in.notices = notice.New(in.registry, cooldown.New(), in.limits, brittle.New(), logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
 	in.Forwarder = forwarder.New(in.address, coordinator.New(bt, cacheaware.New(), in.quarantine, in.limits, cooldown.New(), catalogNow, endpointsNow, logr.Discard()),
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
-			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, Versions: versionset.New(),
+			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, Versions: versionset.New(), Brittle: brittle.New(),
 			Relay: func() relays.Relay { return relays.Relay{} }, Unreachable: func() []string { return nil }, Relays: relays.New(""), PeerStatus: in.peerStatus,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/stage/forwarder/limits.go
+++ b/internal/stage/forwarder/limits.go
@@ -31,6 +31,8 @@
 		share = f.fleet.Share(now)
 	}
 	f.limits.SetShare(share, now)
+	size, _ := f.fleet.Size(now)
+	f.brittle.SetInstances(size)
 }
 
 // Permit has the coordinator take a request from the limit of one of the endpoints that may
