--- a/internal/stage/batcher/worker.go
+++ b/internal/stage/batcher/worker.go
@@ -154,12 +154,9 @@
 				rate += r * executeShare
 			}
 		}
-		if left, ok := b.limits.Left(e.Name(), now); !ok || left > 0 {
+		if !b.takesCall(e, now) {
 			continue
 		}
-		if !b.brittle.HasRoom(service, e.Name(), 0, now) {
-			continue // it has rejected a call; as many are in flight as it works on
-		}
 		if w.calls < batch.MaxCalls && !w.inBackoff(now) {
 			state.idle = append(state.idle, idleEndpoint{Endpoint: e, worker: w, slowdown: slowdown, use: use})
 		}
@@ -176,6 +173,13 @@
 	return state
 }
 
+// takesCall reports whether neither the limit of an endpoint nor a rejection, if it is brittle, keeps
+// it from getting a call now.
+func (b *Batcher) takesCall(e *registry.Endpoint, now time.Time) bool {
+	left, ok := b.limits.Left(e.Name(), now)
+	return ok && left == 0 && b.brittle.HasRoom(e.Service, e.Name(), 0, now)
+}
+
 // callsAtOnce returns how many calls an endpoint can work on at once. One that limits its calls
 // works on fewer, in the mean.
 func (b *Batcher) callsAtOnce(name string, batch *catalog.Batch, slowdown float64) float64 {
