--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
@@ -153,6 +154,7 @@
 // endpoint takes the next script from one shared list; without a script left,
 // the endpoint closes the connection.
 type harness struct {
+	t        *testing.T
 	g        *gomega.WithT
 	proxy    *proxy.Proxy
 	registry *registry.Registry
@@ -177,7 +179,7 @@
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	h := &harness{g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener)}
+	h := &harness{t: t, g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener)}
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
@@ -277,6 +279,34 @@
 	return l.Addr().String()
 }
 
+// bindPort binds a port of loopback, zero for any, on which nothing listens until the test ends, and
+// returns its address: connections are refused, and no other process can listen there meanwhile.
+func bindPort(t *testing.T, port int) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	err = errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1), unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}))
+	bound, nameErr := unix.Getsockname(fd)
+	if err = errors.Join(err, nameErr); err != nil {
+		t.Error(err)
+		return ""
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
+// refuse makes the endpoint of a connection refuse connections from now on.
+func (h *harness) refuse(w net.Conn) {
+	h.mu.Lock()
+	l := h.listeners[w.LocalAddr().String()]
+	h.mu.Unlock()
+	l.Close()
+	bindPort(h.t, l.Addr().(*net.TCPAddr).Port)
+}
+
 func (h *harness) serve(c net.Conn, address string) {
 	br := bufio.NewReader(c)
 	for {
--- a/internal/edge/proxy/held_test.go
+++ b/internal/edge/proxy/held_test.go
@@ -123,10 +123,7 @@
 
 // crashEndpoint closes the endpoint of the connection: it takes no new ones.
 func (h *harness) crashEndpoint(w net.Conn, _ *http.Request) {
-	h.mu.Lock()
-	l := h.listeners[w.LocalAddr().String()]
-	h.mu.Unlock()
-	l.Close()
+	h.refuse(w)
 	w.Close()
 }
 
--- a/internal/edge/proxy/relay_test.go
+++ b/internal/edge/proxy/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
+	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/result/class"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -125,12 +126,10 @@
 func TestRefusedConnectionsAreNotFinal(t *testing.T) {
 	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent} {
 		g := NewWithT(t)
-		h := newHarness(t, 2, respond(200, "Signed: 1\r\n", "body"))
-		h.mu.Lock()
-		for _, l := range h.listeners {
-			l.Close()
+		h := newHarness(t, 0, respond(200, "Signed: 1\r\n", "body"))
+		for _, id := range []string{"e0", "e1"} {
+			h.registry.Put(registry.Endpoint{ID: id, Service: "s", Address: bindPort(t, 0), Centre: "a", Slots: 8, State: registry.Ready}, time.Now())
 		}
-		h.mu.Unlock()
 		h.relays.Learn([]relays.Relay{{Address: h.listen(t), Centre: "a"}}, time.Now())
 		w, err := h.serveRequest(kind, 1, false)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/edge/proxy/version_test.go
+++ b/internal/edge/proxy/version_test.go
@@ -168,7 +168,7 @@
 			first := c.first
 			if c.crash {
 				first = func(w net.Conn, r *http.Request) {
-					h.listeners[w.LocalAddr().String()].Close()
+					h.refuse(w)
 					c.first(w, r)
 				}
 			}
