Reach: once one service cannot be reached, check all

With all instances but one cut off, the coordinator was one of those cut off for up to 9 s: instances check the services to which they send requests, so a follower did not know that it had no path to the endpoints of stages, and was preferred to the one with a path. All services are checked now as soon as one cannot be reached.

--- a/internal/edge/prober/prober.go
+++ b/internal/edge/prober/prober.go
@@ -43,7 +43,7 @@
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
-		for _, service := range p.tracker.Due(time.Now()) {
+		for _, service := range p.tracker.Due(p.index().Services(), time.Now()) {
 			p.start(service)
 		}
 		select {
@@ -58,7 +58,7 @@
 // Confirm waits for the check of a service that is due or running, and reports whether this
 // instance is cut off from it.
 func (p *Prober) Confirm(ctx context.Context, service string) bool {
-	for _, due := range p.tracker.Due(time.Now()) {
+	for _, due := range p.tracker.Due(p.index().Services(), time.Now()) {
 		p.start(due)
 	}
 	p.mu.Lock()
--- a/internal/edge/reach/tracker.go
+++ b/internal/edge/reach/tracker.go
@@ -26,7 +26,7 @@
 	// checkInterval is the least time between two checks of a service.
 	checkInterval = 400 * time.Millisecond
 	// othersInterval is the least time between two checks of the other services while one cannot be
-	// reached: a partition mostly separates from all.
+	// reached.
 	othersInterval = time.Second
 	// returnTime is the time after the end of a cut within which requests return to direct
 	// connections, so that not all of them are made at the same moment.
@@ -83,10 +83,7 @@
 			return
 		}
 		s.suspected = true
-		select {
-		case t.wake <- struct{}{}:
-		default: // a check is due already
-		}
+		t.notify()
 	})
 }
 
@@ -113,14 +110,23 @@
 // Wake returns a channel that receives when a suspicion is new.
 func (t *Tracker) Wake() <-chan struct{} { return t.wake }
 
-// Due returns the services whose path is to be checked now, and takes them for checked.
-func (t *Tracker) Due(now time.Time) []string {
+// Due returns the services whose path is to be checked now, and takes them for checked. While one
+// cannot be reached, these are also services of known to which this instance has sent nothing yet: as
+// the coordinator it would need them.
+func (t *Tracker) Due(known []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	anyCut := false
 	for _, s := range t.services {
 		anyCut = anyCut || s.cut
 	}
+	if anyCut {
+		for _, name := range known {
+			if t.services[name] == nil {
+				t.services[name] = new(service)
+			}
+		}
+	}
 	var due []string
 	for name, s := range t.services {
 		silent := s.waiting > 0 && now.Sub(s.heard) >= silenceLimit
@@ -150,12 +156,33 @@
 		return
 	}
 	s.cut = cut
-	if !cut {
+	if cut {
+		t.checkOthers(s)
+	} else {
 		s.restored = now
 	}
 	t.log.Info("path to a service changed", "service", name, "reachable", !cut, "reached", reached, "tried", tried)
 }
 
+// checkOthers makes all services but one due for a check: a partition mostly separates from all. The
+// caller holds the lock.
+func (t *Tracker) checkOthers(than *service) {
+	for _, s := range t.services {
+		if s != than && !s.cut {
+			s.checked = time.Time{}
+		}
+	}
+	t.notify()
+}
+
+// notify wakes the receiver of Wake, if it is not awake already.
+func (t *Tracker) notify() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
 // CutOff reports whether a request should be served by another instance. Soon after the end of a
 // cut this is so for a part of the requests.
 func (t *Tracker) CutOff(name string, now time.Time) bool {
--- a/internal/edge/reach/tracker_test.go
+++ b/internal/edge/reach/tracker_test.go
@@ -41,28 +41,32 @@
 		"a service is waited for anew": {func(tr *reach.Tracker) { tr.Started("a", start); tr.Ended("a"); tr.Started("a", start.Add(time.Hour)) }, time.Hour, nil},
 		"checked just now": {func(tr *reach.Tracker) {
 			tr.Dialed("a", errDialed, start)
-			tr.Due(start)
+			tr.Due(nil, start)
 			tr.Dialed("a", errDialed, start)
 		}, 300 * time.Millisecond, nil},
 		"checked a while ago": {func(tr *reach.Tracker) {
 			tr.Dialed("a", errDialed, start)
-			tr.Due(start)
+			tr.Due(nil, start)
 			tr.Dialed("a", errDialed, start)
 		}, 400 * time.Millisecond, []string{"s"}},
-		"cut off": {func(tr *reach.Tracker) { tr.Dialed("a", errDialed, start); tr.Due(start); tr.Checked("s", 0, 3, start) }, 400 * time.Millisecond, []string{"s"}},
+		"cut off": {func(tr *reach.Tracker) {
+			tr.Dialed("a", errDialed, start)
+			tr.Due(nil, start)
+			tr.Checked("s", 0, 3, start)
+		}, 400 * time.Millisecond, []string{"s"}},
 		"another service is cut off": {func(tr *reach.Tracker) {
 			tr.Dialed("b", nil, start)
 			tr.Dialed("a", errDialed, start)
-			tr.Due(start)
+			tr.Due(nil, start)
 			tr.Checked("s", 0, 3, start)
-			tr.Due(start)
+			tr.Due(nil, start)
 		}, 390 * time.Millisecond, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			tr := newTracker()
 			c.events(tr)
-			g.Expect(tr.Due(start.Add(c.at))).To(Equal(c.due))
+			g.Expect(tr.Due(nil, start.Add(c.at))).To(Equal(c.due))
 		})
 	}
 }
@@ -108,3 +112,18 @@
 	g.Expect(relayed(time.Second)).To(Equal(0))
 	g.Expect(tr.Unreachable()).To(BeEmpty())
 }
+
+// TestAllServicesAreCheckedOnceOneIsCutOff guards against an instance that leads without a path to the
+// endpoints of stages: it has sent them nothing before.
+func TestAllServicesAreCheckedOnceOneIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTracker()
+	known := []string{"s", "t", "stage"}
+	tr.Dialed("b", nil, start)
+	tr.Dialed("a", errDialed, start)
+	g.Expect(tr.Due(known, start)).To(Equal([]string{"s"}))
+	tr.Checked("s", 0, 3, start)
+	g.Expect(tr.Due(known, start.Add(time.Millisecond))).To(ConsistOf("t", "stage"))
+	tr.Checked("stage", 0, 3, start)
+	g.Expect(tr.Unreachable()).To(Equal([]string{"s", "stage"}))
+}
--- a/internal/edge/registry/index.go
+++ b/internal/edge/registry/index.go
@@ -2,6 +2,11 @@
 
 // This file defines Index.
 
+import (
+	"maps"
+	"slices"
+)
+
 // Index finds endpoints by name and by service. It is immutable and safe for
 // concurrent use.
 type Index struct {
@@ -30,8 +35,8 @@
 // Accepting returns the endpoints of a service that accept new work.
 func (x *Index) Accepting(service string) []*Endpoint { return x.byService[service] }
 
-// NumServices returns the number of services with endpoints that accept new work.
-func (x *Index) NumServices() int { return len(x.byService) }
+// Services returns the names of the services with endpoints that accept new work.
+func (x *Index) Services() []string { return slices.Collect(maps.Keys(x.byService)) }
 
 // AcceptingVersion returns the endpoints of a service that accept new work and whose software
 // has the version; all of them if the version is empty.
