--- a/internal/edge/reach/tracker.go
+++ b/internal/edge/reach/tracker.go
@@ -107,6 +107,21 @@
 	t.update(endpoint, func(s *service) { s.waiting = max(0, s.waiting-1) })
 }
 
+// Suspect makes services due for a check, unless they were checked just now.
+func (t *Tracker) Suspect(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range names {
+		s := t.services[name]
+		if s == nil {
+			s = new(service)
+			t.services[name] = s
+		}
+		s.suspected = true
+	}
+	t.notify()
+}
+
 // Wake returns a channel that receives when a suspicion is new.
 func (t *Tracker) Wake() <-chan struct{} { return t.wake }
 
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 	brittle          *brittle.Tracker
 	relay            func() relays.Relay
 	unreachable      func() []string
+	checkPaths       func()
 	relays           *relays.List
 	roster           *roster.Roster
 	fleet            *fleetsize.Counter
@@ -97,6 +98,7 @@
 	Brittle          *brittle.Tracker    // receives how many instances there are
 	Relay            func() relays.Relay // at which this instance serves requests for others; its address is empty while it does not
 	Unreachable      func() []string     // services that this instance cannot reach
+	CheckPaths       func()              // has the paths to all services checked
 	Relays           *relays.List        // receives the instances that serve requests for this one
 	PeerStatus       *peerstatus.Latest  // receives what peers know, and the confirmations and changes that the leader reports
 }
@@ -107,7 +109,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, checkPaths: s.CheckPaths, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -185,6 +185,7 @@
 	f.heard.CompareAndSwap(0, now.UnixNano())
 	if f.election.Leader(now) == address {
 		f.learnRelays(roll.Relays, now)
+		f.prepareToLead(roll)
 		f.quarantine.LearnSuspects(decodeSuspects(roll.Suspects, now), now)
 	}
 	if at, ok := f.recordConfirmation(roll, pollTime); ok && f.election.Leader(now) == address {
@@ -230,6 +231,7 @@
 		f.leader, f.leadsSince = leader, time.Time{}
 		if leader == f.self {
 			f.leadsSince = now
+			f.checkPaths() // it may not have needed them as a follower
 		}
 		f.peerStatus.Clear()
 	}
--- a/internal/stage/forwarder/relays.go
+++ b/internal/stage/forwarder/relays.go
@@ -3,6 +3,7 @@
 // This file tells instances that have no path to endpoints which others serve requests for them.
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
@@ -30,6 +31,17 @@
 	}
 }
 
+// prepareToLead has the paths of this instance checked if the leader has lost its own, and this
+// instance is among those that may follow it: it may have the same fate, and not know it yet.
+func (f *Forwarder) prepareToLead(leader *stagepb.Roll) {
+	if len(leader.Unreachable) == 0 {
+		return
+	}
+	if slices.ContainsFunc(leader.Candidates, func(c *stagepb.Candidate) bool { return c.Address == f.self }) {
+		f.checkPaths()
+	}
+}
+
 func (f *Forwarder) learnRelays(list []*stagepb.Relay, now time.Time) {
 	if len(list) == 0 {
 		return
