Prober: checks of the path keep no connection beside idle ones

Checks of many instances at the same moment, as when an endpoint crashes, could use them up, and others would be reset.

--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -135,18 +135,29 @@
 	return raw, err
 }
 
-// Probe makes a connection to the named endpoint, which is kept for a later request.
+// Probe makes a connection to the named endpoint. It is kept for a later request, unless there are
+// idle ones: endpoints limit the connections of all instances together.
 func (p *Pool) Probe(ctx context.Context, name, address string) error {
 	raw, err := p.connect(ctx, name, address)
 	if err != nil {
 		return err
 	}
 	c := newConn(raw, name)
+	if p.hasIdle(name) {
+		c.Close()
+		return nil
+	}
 	c.expiresAt = time.Now().Add(defaultIdleTimeout)
 	p.put(c)
 	return nil
 }
 
+func (p *Pool) hasIdle(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[name]) > 0
+}
+
 // take removes and returns the most recently used idle connection to the named
 // endpoint, or nil if there is none. It may no longer be usable.
 func (p *Pool) take(name string) *conn {
