Reach: instances that hear of a cut check their own paths

The inputs of the fault matrix are unique to a run now: several cells run at the same time, and tests of other packages send bookings with the same bodies.

--- a/internal/bench/matrix/run.go
+++ b/internal/bench/matrix/run.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +66,7 @@
 	isolated       [daemons]bool          // the daemon sees neither peers nor the newest table
 	publishedAt    time.Time              // when the last table was published
 	drainedAt      time.Time              // when the drain was in force everywhere
+	id             uint64                 // of the run, random
 	inputs         int                    // number of inputs made so far
 	log            []string
 }
@@ -85,7 +87,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("matrix: building table: %v", err))
 	}
-	r := &run{cell: c, ctx: ctx, injector: faultinject.New(), isCapped: make(map[string]bool), startTime: time.Now()}
+	r := &run{cell: c, ctx: ctx, id: rand.Uint64(), injector: faultinject.New(), isCapped: make(map[string]bool), startTime: time.Now()}
 	f, stop, err := fleet.New(ctx, table, fleet.Options{
 		Daemons: daemons, Timing: timing(), DrainTime: drainTime, Start: c.startFunc(start), UseProxies: true, Injector: r.injector,
 	}, logr.Discard())
@@ -242,12 +244,13 @@
 	return requestDeadline
 }
 
-// input returns an input that is unique within the cell.
+// input returns an input that no other run uses: a port of this run may have belonged to another
+// one, or to a test of another package, whose calls still arrive.
 func (r *run) input() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inputs++
-	return fmt.Sprintf(`{"slot":%d}`, r.inputs)
+	return fmt.Sprintf(`{"slot":%d,"run":"%016x"}`, r.inputs, r.id)
 }
 
 // async runs f in a goroutine and returns a function that waits for its end.
--- a/internal/edge/reach/tracker.go
+++ b/internal/edge/reach/tracker.go
@@ -28,6 +28,9 @@
 	// othersInterval is the least time between two checks of the other services while one cannot be
 	// reached.
 	othersInterval = time.Second
+	// hintInterval is the least time between two checks because another instance cannot reach a
+	// service.
+	hintInterval = 3 * time.Second
 	// returnTime is the time after the end of a cut within which requests return to direct
 	// connections, so that not all of them are made at the same moment.
 	returnTime = time.Second
@@ -122,6 +125,19 @@
 	t.notify()
 }
 
+// Hint makes services due for a check that other instances cannot reach, unless they were checked not
+// long ago: this one may be cut off too, and have no request that shows it.
+func (t *Tracker) Hint(names []string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range names {
+		if s := t.services[name]; s != nil && now.Sub(s.checked) >= hintInterval {
+			s.suspected = true
+			t.notify()
+		}
+	}
+}
+
 // Wake returns a channel that receives when a suspicion is new.
 func (t *Tracker) Wake() <-chan struct{} { return t.wake }
 
--- a/internal/edge/reach/tracker_test.go
+++ b/internal/edge/reach/tracker_test.go
@@ -127,3 +127,19 @@
 	tr.Checked("stage", 0, 3, start)
 	g.Expect(tr.Unreachable()).To(Equal([]string{"s", "stage"}))
 }
+
+// TestHintsAreTakenNowAndThen guards against an instance that does not know that it is cut off, as it has
+// no request, and against a fleet that checks without end while one instance is cut off.
+func TestHintsAreTakenNowAndThen(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTracker()
+	tr.Hint([]string{"s"}, start)
+	g.Expect(tr.Due(nil, start)).To(BeEmpty(), "nothing was ever sent there")
+	tr.Dialed("a", nil, start)
+	checks := 0
+	for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(300 * time.Millisecond) {
+		tr.Hint([]string{"s"}, now)
+		checks += len(tr.Due(nil, now))
+	}
+	g.Expect(checks).To(Equal(4))
+}
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -65,6 +65,7 @@
 	relay            func() relays.Relay
 	unreachable      func() []string
 	checkPaths       func()
+	hintPaths        func(services []string, now time.Time)
 	relays           *relays.List
 	roster           *roster.Roster
 	fleet            *fleetsize.Counter
@@ -95,12 +96,13 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Tracker // receives the part of each limit that this instance shares out
 	Versions         *versionset.Tracker
-	Brittle          *brittle.Tracker    // receives how many instances there are
-	Relay            func() relays.Relay // at which this instance serves requests for others; its address is empty while it does not
-	Unreachable      func() []string     // services that this instance cannot reach
-	CheckPaths       func()              // has the paths to all services checked
-	Relays           *relays.List        // receives the instances that serve requests for this one
-	PeerStatus       *peerstatus.Latest  // receives what peers know, and the confirmations and changes that the leader reports
+	Brittle          *brittle.Tracker                       // receives how many instances there are
+	Relay            func() relays.Relay                    // at which this instance serves requests for others; its address is empty while it does not
+	Unreachable      func() []string                        // services that this instance cannot reach
+	CheckPaths       func()                                 // has the paths to all services checked
+	HintPaths        func(services []string, now time.Time) // receives services that other instances cannot reach
+	Relays           *relays.List                           // receives the instances that serve requests for this one
+	PeerStatus       *peerstatus.Latest                     // receives what peers know, and the confirmations and changes that the leader reports
 }
 
 // New returns a forwarder of the instance that peers reach at address self. It
@@ -109,7 +111,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, checkPaths: s.CheckPaths, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, checkPaths: s.CheckPaths, hintPaths: s.HintPaths, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -185,6 +185,7 @@
 	f.heard.CompareAndSwap(0, now.UnixNano())
 	if f.election.Leader(now) == address {
 		f.learnRelays(roll.Relays, now)
+		f.hintPaths(roll.Doubtful, now)
 		f.prepareToLead(roll)
 		f.quarantine.LearnSuspects(decodeSuspects(roll.Suspects, now), now)
 	}
--- a/internal/stage/roster/roster.go
+++ b/internal/stage/roster/roster.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Doubtful returns the services that some instances cannot reach, sorted.
+func (r *Roster) Doubtful(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for _, i := range r.instances {
+		if now.Sub(i.seen) <= timeout {
+			names = append(names, i.unreachable...)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Name returns some instances that reach all of the given services, for an instance in the given
 // data centre: those in its own one first.
 func (r *Roster) Name(asking relays.Relay, services []string, now time.Time) []relays.Relay {
