Relay: a request that crashes all endpoints of a service is no cut

All endpoints of a small service crashed under it, so instances took themselves for cut off from the service, dropped the crashes as evidence, and had other instances repeat the request. Crashes are dropped, and such a request is relayed, only if several services cannot be reached. TestRequestThatCrashesAllEndpointsOfAService.

--- a/internal/edge/proxy/held.go
+++ b/internal/edge/proxy/held.go
@@ -97,7 +97,7 @@
 	if ctx.Err() != nil || !crashed && (kind != failure.Lost || begun || !x.isStream()) {
 		return
 	}
-	if !x.request.Relayed && x.paths.Prober.Confirm(ctx, x.request.Service) {
+	if !x.request.Relayed && x.paths.Prober.Confirm(ctx, x.request.Service) && x.paths.Reach.IsPartitioned() {
 		return // without a path, all endpoints seem to have crashed
 	}
 	x.preparer.RecordLoss(x.request.ID, quarantine.NewLoss(e.Name(), x.subject(), begun, crashed, time.Now()))
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -48,6 +48,9 @@
 	if !x.mayHaveRun {
 		return x.unconnected > 0
 	}
+	if x.crashed && !x.paths.Reach.IsPartitioned() {
+		return false // it would crash the next endpoint
+	}
 	return x.unconnected+x.possibleRuns > 0 && !x.prepared.Trial && x.mayRepeat() && x.isCutOff()
 }
 
--- a/internal/edge/proxy/relay_test.go
+++ b/internal/edge/proxy/relay_test.go
@@ -136,3 +136,32 @@
 		g.Expect(w.Code).To(Equal(200))
 	}
 }
+
+// TestRequestThatCrashesAllEndpointsOfAService guards against evidence that is dropped, and against a
+// request that another instance repeats, as all endpoints of a small service have crashed under it: that
+// looks like a cut from the service.
+func TestRequestThatCrashesAllEndpointsOfAService(t *testing.T) {
+	for _, partitioned := range []bool{false, true} {
+		t.Run(fmt.Sprint("partitioned=", partitioned), func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, 1, nil, respond(200, "Signed: 1\r\n", "body"))
+			h.scripts[0] = h.crashEndpoint
+			if partitioned {
+				h.registry.Put(registry.Endpoint{ID: "o", Service: "other", Address: bindPort(t, 0), Centre: "a", Slots: 8, State: registry.Ready}, time.Now())
+				h.reach.Suspect([]string{"other"})
+				h.reach.Checked("other", 0, 3, time.Now())
+			}
+			h.relays.Learn([]relays.Relay{{Address: h.listen(t), Centre: "a"}}, time.Now())
+			w, err := h.serveRequest(catalog.Idempotent, 2, false)
+			if partitioned {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(w.Code).To(Equal(200))
+				g.Expect(h.losses).To(BeEmpty())
+				return
+			}
+			g.Expect(fault.From(err).Code).To(Equal(code.AnswerLost))
+			g.Expect(h.losses).To(HaveLen(1))
+			g.Expect(h.sent()).To(Equal(1))
+		})
+	}
+}
--- a/internal/edge/reach/tracker.go
+++ b/internal/edge/reach/tracker.go
@@ -232,6 +232,10 @@
 	}
 }
 
+// IsPartitioned reports whether this instance cannot reach several services. If it is only one, its
+// endpoints may have ended, as a request may crash all of a small service.
+func (t *Tracker) IsPartitioned() bool { return len(t.Unreachable()) > 1 }
+
 // Unreachable returns the services that this instance cannot reach, sorted.
 func (t *Tracker) Unreachable() []string {
 	t.mu.Lock()
