Brittle endpoints: instances do not all turn to the one that has not rejected them

With 66 instances and 40 callers, seven endpoints of a plain service fell over 39 times: each instance that was rejected turned to the others, and to each that had just come back. They are in a pause of a random part now, once one has rejected.

--- a/internal/routing/brittle/tracker.go
+++ b/internal/routing/brittle/tracker.go
@@ -4,7 +4,8 @@
 // The endpoints of a service are brittle at the same time. Two rules keep the sum below the number. An instance has no more
 // requests there than its part of the endpoint's slots, so that few are sent beyond what has room. And
 // after a rejection it sends none for as long as the fleet needs to stay below the number if each
-// instance does the same.
+// instance does the same; to endpoints that have rejected none of its requests, not for a random part of
+// that, as the others that were rejected turn to them too.
 //
 // Callers pass the time in; the package does no I/O.
 package brittle
@@ -37,6 +38,7 @@
 	slots  int     // of an endpoint
 	at     time.Time
 	paused map[string]time.Time // until when endpoints get no requests, by name
+	pause  time.Duration        // the last one; zero before the first rejection
 }
 
 // New returns a tracker for a single instance.
@@ -93,7 +95,12 @@
 	if s == nil {
 		return true
 	}
-	return !now.Before(s.paused[endpoint]) && inFlight < max(1, int(math.Ceil(float64(s.slots)/float64(t.instances))))
+	until, known := s.paused[endpoint]
+	if !known && s.pause > 0 {
+		until = now.Add(time.Duration(rand.Float64() * float64(s.pause)))
+		s.paused[endpoint] = until
+	}
+	return !now.Before(until) && inFlight < max(1, int(math.Ceil(float64(s.slots)/float64(t.instances))))
 }
 
 // Reject records that an endpoint rejected a request for want of room, and returns for how long it
@@ -110,6 +117,6 @@
 		senders = t.instances
 	}
 	pause := time.Duration(float64(senders) / s.rate * (1 + maxJitter*rand.Float64()) * float64(time.Second))
-	s.paused[endpoint] = now.Add(pause)
+	s.paused[endpoint], s.pause = now.Add(pause), pause
 	return pause
 }
