--- a/review/standin/case_stop.go
+++ b/review/standin/case_stop.go
@@ -22,10 +22,10 @@
 func caseStop(b *bed) bool {
 	stages := []any{map[string]any{"service": "tank-log", "after": []int{}, "bytes": 8000}}
 	b.startPlatform(
-		[]any{route("chat", "stream", "llm-pool", map[string]any{"timeout_ms": 20000, "goal_ms": 1700, "gap_goal_ms": 250, "stages": stages, "sticky": true})},
+		[]any{route("chat", "stream", "llm-pool", map[string]any{"timeout_ms": 20000, "goal_ms": 1700, wire("gapGoal"): 250, "stages": stages, "sticky": true})},
 		[]any{
-			map[string]any{"name": "llm-pool", "health_path": "/health", "max_conns": 480, "engine": map[string]any{"capacity": 96, "kv_capacity_tokens": 568434, "kv_token_bytes": 96256}},
-			map[string]any{"name": "tank-log", "health_path": "/health", "max_conns": 480, "pieces": map[string]any{"capacity": 1, "queue": 2, "batch": 22, "call_ms": 200, "item_ms": 7.8, "headroom_mb": 50, "handle_s": 4, "link_mbps": 10000}},
+			map[string]any{"name": "llm-pool", wire("healthPath"): "/health", "max_conns": 480, "engine": map[string]any{"capacity": 96, wire("cacheTokens"): 568434, "kv_token_bytes": 96256}},
+			map[string]any{"name": "tank-log", wire("healthPath"): "/health", "max_conns": 480, "pieces": map[string]any{"capacity": 1, "queue": 2, "batch": 22, "call_ms": 200, "item_ms": 7.8, wire("space"): 50, "handle_s": 4, "link_mbps": 10000}},
 		})
 	var mu sync.Mutex
 	fullUntil := time.Time{}
@@ -74,5 +74,5 @@
 }
 
 func chatHeader() map[string]string {
-	return map[string]string{"X-Model": "m", "X-Token-Count": "640,80", "X-Prefix-Hash": "5c1e07a2:100,91bd3f06:540", "X-Pieces": "2", "X-Piece-Key": "7c1e07a291bd"}
+	return map[string]string{wire("model"): "m", wire("tokens"): "640,80", wire("prompt"): "5c1e07a2:100,91bd3f06:540", wire("pieces"): "2", wire("pieceKey"): "7c1e07a291bd"}
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -24,17 +24,17 @@
 
 // publish writes a version of the manifest.
 func (b *bed) publish(version int, routes, services []any, keys ...string) {
-	b.store.put("op/config", map[string]any{
+	b.store.put(wire("manifestKey"), map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "tenant-1", "api_keys": keys}},
+		"tenants": []any{map[string]any{"name": "tenant-1", wire("keys"): keys}},
 	})
 }
 
 func route(name, kind, service string, more map[string]any) map[string]any {
 	r := map[string]any{
 		"name": name, "host": "app.example", "prefix": "/" + name + "/", "kind": kind, "service": service,
-		"timeout_ms": 3000, "goal_ms": 300, "max_attempts": 1, "priority": 2, "public": false,
+		"timeout_ms": 3000, "goal_ms": 300, wire("attempts"): 1, "priority": 2, "public": false,
 	}
 	for k, v := range more {
 		r[k] = v
