Versions: a stream of unknown origin goes on only where one version can have begun it

Cause: versionset.Tracker.Only took the one version in sight for the only one. It asked neither for how long this instance had watched the registrations, nor how old its list was, nor whether the route had led to another service; a version that came and went between two answers of the store was not seen at all. Class of fault: the absence of evidence was taken for evidence.

Change: an unknown origin is inferred only by an instance that has applied every change of the registrations and of the routes for a minute, saw one version in all of it, and has its endpoints confirmed later than the request arrived. A stream of known origin goes on only while the endpoints have been confirmed within 3 s. An instance without a path binds the stream first and tells the origin to the one that serves it. TestStreamOfAnotherAttempt: the rows that let a stream go on at the one version in sight asserted the fault; they ask for an instance that has watched for a minute now, and rows for each missing proof are new.

--- a/internal/edge/protocol/codec.go
+++ b/internal/edge/protocol/codec.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -32,6 +33,7 @@
 	LastEventID string        // as in Attempt
 	Resumes     string        // id of the request that brought the first event; empty if none did
 	Runs        int           // sends after which the request may have run
+	Origin      origin.Origin // of the stream of which the caller holds events; unknown if it holds none
 }
 
 // Codec encodes the headers of requests to endpoints and interprets the status
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
 	"github.com/jacinthstile/jacinthstile/internal/edge/endpointtable"
+	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/prober"
@@ -171,6 +173,8 @@
 	losses     []quarantine.Loss
 	origins    map[uint64]origin.Origin
 	versions   *versionset.Tracker
+	freshness  *freshness.Tracker // of a clock that stands still at the last confirmation
+	clock      atomic.Int64       // its time in nanoseconds
 	reach      *reach.Tracker
 	relays     *relays.List
 	reached    []string // addresses of the endpoints that got requests
@@ -180,6 +184,9 @@
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
 	h := &harness{t: t, g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener)}
+	h.freshness = freshness.New(func() time.Duration { return time.Duration(h.clock.Load()) })
+	h.clock.Store(int64(time.Hour))
+	h.freshness.Confirm(time.Hour)
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
@@ -197,7 +204,7 @@
 	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), logr.Discard())
 	return h
 }
 
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
+	"github.com/jacinthstile/jacinthstile/internal/edge/freshness"
 	"github.com/jacinthstile/jacinthstile/internal/edge/notice"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
@@ -112,6 +113,7 @@
 	limits      *ratelimit.Tracker
 	notices     *notice.Recorder
 	versions    *versionset.Tracker
+	freshness   *freshness.Tracker
 	paths       Paths
 	log         logr.Logger
 }
@@ -119,14 +121,15 @@
 // New returns a proxy. index returns the endpoints known at the moment; budget
 // limits retries; q knows which prompts are held back; limits knows which endpoints limit the
 // requests of all instances; notices receives what endpoints say of themselves; versions knows
-// which versions of their software services run; paths knows which ones this instance can reach.
+// which versions of their software services run, and fresh when the endpoints were last confirmed to be
+// current; paths knows which services this instance can reach.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
 	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, limits *ratelimit.Tracker,
-	notices *notice.Recorder, versions *versionset.Tracker, paths Paths, log logr.Logger,
+	notices *notice.Recorder, versions *versionset.Tracker, fresh *freshness.Tracker, paths Paths, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
 		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
-		quarantine: q, limits: limits, notices: notices, versions: versions, paths: paths, log: log,
+		quarantine: q, limits: limits, notices: notices, versions: versions, freshness: fresh, paths: paths, log: log,
 	}
 }
 
@@ -185,6 +188,11 @@
 // run serves the request here, or has another instance serve it if this one has no path to its
 // service.
 func (x *exchange) run(ctx context.Context) error {
+	if x.request.TakesUp() {
+		if err := x.bindToOrigin(ctx); err != nil {
+			return err
+		}
+	}
 	if x.isCutOff() {
 		if done, err := x.relay(ctx); done {
 			return err
@@ -202,10 +210,8 @@
 // runHere prepares the request if it is a stream, or held back, so that it can only be a trial. It
 // makes attempts until one decides how the request ends.
 func (x *exchange) runHere(ctx context.Context) error {
-	if x.request.TakesUp() {
-		if err := x.bindToOrigin(ctx); err != nil {
-			return err
-		}
+	if x.bound && len(x.endpoints()) == 0 {
+		return x.versionFault()
 	}
 	if x.isStream() || x.isHeld() {
 		if err := x.prepare(ctx); err != nil {
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -124,7 +124,7 @@
 // goes on after the last of them.
 func (x *exchange) relayRequest(address string, left time.Duration) *connpool.Request {
 	req := x.request
-	a := protocol.RelayAttempt{TimeLeft: left, Runs: x.possibleRuns, LastEventID: req.LastEventID, Resumes: req.Resumes}
+	a := protocol.RelayAttempt{TimeLeft: left, Runs: x.possibleRuns, LastEventID: req.LastEventID, Resumes: req.Resumes, Origin: x.origin}
 	if x.stream.lastEventID != "" {
 		a.LastEventID = x.stream.lastEventID
 	}
--- a/internal/edge/proxy/version.go
+++ b/internal/edge/proxy/version.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
@@ -14,29 +15,87 @@
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 )
 
-// bindToOrigin binds a request that takes up a stream to the software that began it. If no
-// instance knows that, the request can go on only if its service has run one version.
+const (
+	// maxListAge is how long ago the endpoints must have been confirmed to be current for a bound
+	// stream to go on: another process may run under the id of one that left meanwhile.
+	maxListAge = 3 * time.Second
+	// confirmTimeout is how long a stream whose origin no instance knows waits for the next such
+	// confirmation. It covers a watch of the store and a report of it.
+	confirmTimeout  = 1800 * time.Millisecond
+	confirmInterval = 20 * time.Millisecond // between two looks for a confirmation
+	listRetryAfter  = 400 * time.Millisecond
+)
+
+// bindToOrigin binds a request that takes up a stream to the software that began it.
 func (x *exchange) bindToOrigin(ctx context.Context) error {
-	o, ok := x.preparer.Origin(ctx, origin.Key(x.request.Account, x.request.Resumes))
-	if !ok {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		version, only := x.versions.Only(x.request.Service, time.Now())
-		if !only {
-			return fault.New(code.StreamUnknown, "no instance knows what began the stream of request %q", x.request.Resumes)
+	arrived := x.freshness.Now()
+	o, ground := x.request.Origin, "told"
+	if !o.Known() {
+		var recorded bool
+		if o, recorded = x.preparer.Origin(ctx, origin.Key(x.request.Account, x.request.Resumes)); recorded {
+			ground = "recorded"
+		} else {
+			var err error
+			if o, err = x.inferOrigin(ctx, arrived); err != nil {
+				return err
+			}
+			ground = "only version"
 		}
-		o = origin.Origin{Service: x.request.Service, Version: version}
 	}
-	x.log.Info("stream taken up", "request", x.request.ID, "resumes", x.request.Resumes, "service", o.Service, "version", o.Version, "recorded", ok)
+	age, _ := x.freshness.Age()
+	x.log.Info("stream taken up", "request", x.request.ID, "resumes", x.request.Resumes, "service", o.Service, "version", o.Version,
+		"ground", ground, "confirmed", age.String())
 	x.bound, x.origin = true, o
-	if err := x.followService(); err != nil {
-		return err
+	return x.followService()
+}
+
+// inferOrigin returns what began a stream that no instance knows, where one version only can have
+// done so. The stream began before the request arrived, at the given time of the clock of
+// freshness, so the endpoints have to be confirmed later than that.
+func (x *exchange) inferOrigin(ctx context.Context, arrived time.Duration) (origin.Origin, error) {
+	if _, ok := x.versions.Only(x.request.Route, time.Now()); ok && ctx.Err() == nil {
+		if err := x.awaitConfirmation(ctx, arrived); err != nil {
+			return origin.Origin{}, err
+		}
 	}
-	if len(x.endpoints()) == 0 {
-		return x.versionFault()
+	if ctx.Err() != nil {
+		return origin.Origin{}, ctx.Err()
 	}
-	return nil
+	version, ok := x.versions.Only(x.request.Route, time.Now())
+	if !ok {
+		return origin.Origin{}, fault.New(code.StreamUnknown, "no instance knows what began the stream of request %q", x.request.Resumes)
+	}
+	return origin.Origin{Service: x.request.Service, Version: version}, nil
+}
+
+// awaitConfirmation waits until the endpoints have been confirmed to be current later than at the
+// given time of the clock of freshness. The error is a *fault.Fault of class "not run".
+func (x *exchange) awaitConfirmation(ctx context.Context, at time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for x.listIsCurrent() {
+		if confirmed, _ := x.freshness.ConfirmedAt(); confirmed >= at {
+			return nil
+		}
+		if !pause.For(ctx, confirmInterval) {
+			break
+		}
+	}
+	return x.listFault()
+}
+
+// listIsCurrent reports whether the endpoints have been confirmed to be current a short time ago.
+func (x *exchange) listIsCurrent() bool { return x.freshness.Within(maxListAge) }
+
+// listFault returns the fault of a stream that cannot go on before the endpoints are confirmed.
+func (x *exchange) listFault() error {
+	age, _ := x.freshness.Age()
+	if x.mayHaveRun {
+		return fault.New(code.AnswerLost, "the endpoints were last confirmed %s ago, want %s at most", age, maxListAge)
+	}
+	f := fault.New(code.NotReady, "the endpoints were last confirmed %s ago, want %s at most", age, maxListAge)
+	f.RetryAfter = listRetryAfter
+	return f
 }
 
 // followService moves the request to the service that began its stream, if its route still
@@ -76,6 +135,11 @@
 	if !x.bound {
 		return true
 	}
+	return x.listIsCurrent() && x.isOfOrigin(e)
+}
+
+// isOfOrigin reports whether the endpoint runs the software that began the stream.
+func (x *exchange) isOfOrigin(e *registry.Endpoint) bool {
 	return e != nil && x.origin.Known() && e.Version == x.origin.Version && !x.quarantine.HasCrashed(e.Name(), time.Now())
 }
 
@@ -85,7 +149,10 @@
 	if !x.bound {
 		return all
 	}
-	return slices.DeleteFunc(slices.Clone(all), func(e *registry.Endpoint) bool { return !x.mayGoOn(e) })
+	if !x.listIsCurrent() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(e *registry.Endpoint) bool { return !x.isOfOrigin(e) })
 }
 
 // namesOf returns the names of endpoints.
@@ -99,6 +166,9 @@
 
 // versionFault returns the fault of a stream that no endpoint may go on with.
 func (x *exchange) versionFault() error {
+	if !x.listIsCurrent() {
+		return x.listFault()
+	}
 	if x.mayHaveRun {
 		return fault.New(code.AnswerLost, "no other endpoint has version %q, which began the stream", x.origin.Version)
 	}
--- a/internal/edge/proxy/version_test.go
+++ b/internal/edge/proxy/version_test.go
@@ -41,16 +41,21 @@
 // software did not begin it, and against one that could go on and is rejected. Nothing is sent for
 // a stream that is rejected, and its caller is told so.
 func TestStreamOfAnotherAttempt(t *testing.T) {
-	v1 := origin.Origin{Service: "s", Version: "v1"}
+	const long = 2 * time.Minute
+	v1, one := origin.Origin{Service: "s", Version: "v1"}, []catalog.Target{{Service: "s"}}
 	for name, c := range map[string]struct {
 		versions  []string // of the endpoints
 		recorded  origin.Origin
 		account   string // that the record is of
 		resumes   string
 		lastEvent string
-		departed  string // version that had endpoints a short time ago
-		crashed   bool   // the endpoint of the version is said to have crashed
-		service   string // that the request's route chose
+		departed  string           // version that had endpoints a short time ago
+		told      origin.Origin    // by the instance that received the request
+		watched   time.Duration    // for which the instance has watched all registrations
+		targets   []catalog.Target // of the route; service s and another one if empty
+		stale     time.Duration    // since when the endpoints have not been confirmed
+		crashed   bool             // the endpoint of the version is said to have crashed
+		service   string           // that the request's route chose
 		want      code.Code
 	}{
 		"begun here":                          {versions: []string{"v1", "v2"}, recorded: v1, resumes: "c0", lastEvent: "4"},
@@ -58,14 +63,20 @@
 		"no endpoint of the version":          {versions: []string{"v2", "v3"}, recorded: v1, resumes: "c0", lastEvent: "4", want: code.VersionGone},
 		"its endpoint has crashed":            {versions: []string{"v1", "v2"}, recorded: v1, resumes: "c0", lastEvent: "4", crashed: true, want: code.VersionGone},
 		"not known, two versions":             {versions: []string{"v1", "v2"}, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
-		"not known, one version":              {versions: []string{"v1", "v1"}, resumes: "c0", lastEvent: "4"},
-		"not known, after a release":          {versions: []string{"v1", "v1"}, departed: "v0", resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
-		"not known, one endpoint without":     {versions: []string{"v1", ""}, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"not known, one version":              {versions: []string{"v1", "v1"}, watched: long, targets: one, resumes: "c0", lastEvent: "4"},
+		"not known, watched since a moment":   {versions: []string{"v1", "v1"}, watched: time.Second, targets: one, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"not known, never listed":             {versions: []string{"v1", "v1"}, targets: one, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"not known, two services":             {versions: []string{"v1", "v1"}, watched: long, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"not known, list is not confirmed":    {versions: []string{"v1", "v1"}, watched: long, targets: one, stale: time.Minute, resumes: "c0", lastEvent: "4", want: code.NotReady},
+		"not known, after a release":          {versions: []string{"v1", "v1"}, watched: long, targets: one, departed: "v0", resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"not known, one endpoint without":     {versions: []string{"v1", ""}, watched: long, targets: one, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
+		"begun here, list is not confirmed":   {versions: []string{"v1", "v2"}, recorded: v1, stale: 4 * time.Second, resumes: "c0", lastEvent: "4", want: code.NotReady},
+		"told by another instance":            {versions: []string{"v1", "v2"}, told: v1, resumes: "c0", lastEvent: "4"},
 		"of another account":                  {versions: []string{"v1", "v2"}, recorded: v1, account: "b", resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
 		"names itself":                        {versions: []string{"v1", "v2"}, recorded: v1, resumes: "c1", lastEvent: "4", want: code.StreamUnknown},
 		"names nothing":                       {versions: []string{"v1", "v2"}, recorded: v1, lastEvent: "4", want: code.StreamUnknown},
 		"names no id":                         {versions: []string{"v1", "v2"}, recorded: v1, resumes: "\x7f, ,", lastEvent: "4", want: code.StreamUnknown},
-		"names nothing, one version":          {versions: []string{"v1", "v1"}, lastEvent: "4"},
+		"names nothing, one version":          {versions: []string{"v1", "v1"}, watched: long, targets: one, lastEvent: "4"},
 		"its route chose another service":     {versions: []string{"v1", "v2"}, recorded: v1, resumes: "c0", lastEvent: "4", service: "t"},
 		"its route leads to no such service":  {versions: []string{"v1", "v2"}, recorded: origin.Origin{Service: "u", Version: "v1"}, resumes: "c0", lastEvent: "4", want: code.VersionGone},
 		"first event of an unknown version":   {versions: []string{"", ""}, resumes: "c0", lastEvent: "4", want: code.StreamUnknown},
@@ -89,7 +100,14 @@
 				}
 				req := newRequest(catalog.Stream, 2, resume)
 				req.Resumes, req.LastEventID = c.resumes, c.lastEvent
-				req.Route.Targets = []catalog.Target{{Service: "s"}, {Service: "t"}}
+				if req.Route.Targets = c.targets; c.targets == nil {
+					req.Route.Targets = []catalog.Target{{Service: "s"}, {Service: "t"}}
+				}
+				if c.watched > 0 {
+					h.versions.Restart(time.Now().Add(-c.watched))
+				}
+				h.clock.Add(int64(c.stale))
+				req.Origin = c.told
 				if c.service != "" {
 					req.Service = c.service
 				}
@@ -207,6 +225,45 @@
 	return prepared, nil
 }
 
+// TestInferredOriginAwaitsConfirmation guards against a stream that goes on at the only version in sight while
+// the registration of the version that began it is on its way, and against a wait without end.
+func TestInferredOriginAwaitsConfirmation(t *testing.T) {
+	for name, c := range map[string]struct {
+		registered string // version that comes with the confirmation; empty for none
+		confirmed  bool
+		want       code.Code
+	}{
+		"confirmed":             {confirmed: true},
+		"another version comes": {registered: "v2", confirmed: true, want: code.StreamUnknown},
+		"not confirmed":         {want: code.NotReady},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			h := newHarness(t, 1, streamEvents(5, 9, true))
+			h.versions.Restart(time.Now().Add(-time.Hour))
+			h.clock.Add(int64(time.Second))
+			time.AfterFunc(100*time.Millisecond, func() {
+				if c.registered != "" {
+					h.versions.Register(&registry.Endpoint{Service: "s", Version: c.registered}, time.Now())
+				}
+				if c.confirmed {
+					h.freshness.Confirm(h.freshness.Now())
+				}
+			})
+			req := newRequest(catalog.Stream, 2, true)
+			req.LastEventID, req.Route.Targets = "4", []catalog.Target{{Service: "s"}}
+			err := h.proxy.Serve(context.Background(), req, httptest.NewRecorder())
+			if c.want == 0 {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(fault.From(err).Code).To(Equal(c.want))
+			g.Expect(h.sent()).To(Equal(0))
+		})
+	}
+}
+
 // TestProcessUnderTheSameIDHasNoKnownVersion guards against the version of a process that crashed
 // being taken for that of the one which answers in its place: its registration may be on its way.
 func TestProcessUnderTheSameIDHasNoKnownVersion(t *testing.T) {
--- a/internal/edge/request/request.go
+++ b/internal/edge/request/request.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 )
 
 // Request is a caller's request. Its fields must not be changed once it is
@@ -35,6 +36,8 @@
 	Relayed      bool        // another instance received the request, and has it served here
 	Runs         int         // of the endpoints that may have run it there
 
+	Origin origin.Origin // of the stream that the request takes up, as the instance that received it told; unknown if it told none
+
 	Prompt      []PromptPart // parts of the prompt in order; empty if the request is not for an engine
 	Pieces      []int        // number of pieces of each stage of the route; empty if it needs none
 	PieceKey    string       // key from which the stages without predecessors produce their pieces
--- a/internal/edge/watcher/era_test.go
+++ b/internal/edge/watcher/era_test.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/restore"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 )
 
@@ -131,7 +132,7 @@
 			s := &store{era: c.era, version: 1, ready: map[string]bool{}}
 			tracker := freshness.New(func() time.Duration { return time.Since(start) + time.Hour })
 			peer := peerstatus.New()
-			w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
+			w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), versionset.New(), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
 			if c.heardAt > 0 {
 				time.AfterFunc(c.heardAt, func() { peer.Observe(peerstatus.Known{}) })
 			}
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -29,6 +29,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/restore"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 )
 
 const (
@@ -69,6 +70,7 @@
 	peer      *peerstatus.Latest // report of another instance
 	freshness *freshness.Tracker
 	registry  *registry.Registry
+	versions  *versionset.Tracker
 	publish   func(*catalog.Catalog)
 	log       logr.Logger
 	history   *history.History // changes that were applied, for other instances
@@ -90,12 +92,12 @@
 	failedCalls      int // since unreachableSince
 }
 
-// New returns a Watcher that calls publish with each newer catalog and keeps r and
+// New returns a Watcher that calls publish with each newer catalog and keeps r, v and
 // t current. While peer has a report that is at most maxReportAge old, the source is
 // watched only for changes that the report announces but does not include.
-func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger, scope tally.Scope) *Watcher {
+func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, v *versionset.Tracker, publish func(*catalog.Catalog), log logr.Logger, scope tally.Scope) *Watcher {
 	w := &Watcher{
-		source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New(), guard: restore.New(),
+		source: s, peer: peer, freshness: t, registry: r, versions: v, publish: publish, log: log, history: history.New(), guard: restore.New(),
 		verdict: restore.Proven, restores: scope.Counter("store_restores"), failures: scope.Counter("store_call_failures"), lost: scope.Counter("catalog_versions_lost"),
 	}
 	w.status.Store(new(Status))
@@ -202,12 +204,13 @@
 	defer cancel()
 	fleet := w.peer.Fleet()
 	w.reportedEra = fleet.Era
-	started := w.freshness.Now()
+	started, startTime := w.freshness.Now(), time.Now()
 	changes, at, err := w.source.List(ctx)
 	if err != nil {
 		return err
 	}
 	w.setReachable("it answered")
+	w.versions.Restart(startTime)
 	var endpoints []registry.Endpoint
 	for _, c := range changes {
 		if r, ok := c.(change.Registered); ok {
@@ -296,6 +299,7 @@
 	case change.Registered:
 		e := c.Endpoint
 		w.log.Info("endpoint registered", "endpoint", e.ID, "service", e.Service, "state", e.State.String(), "born", e.StartTime)
+		w.versions.Register(&e, time.Now())
 		w.registry.Put(e, time.Now())
 	case change.Unregistered:
 		gone := w.registry.Remove(c.ID, time.Now())
@@ -318,6 +322,7 @@
 	}
 	w.log.Info("catalog in force", "version", c.Version, "before", w.version, "routes", len(c.Routes()))
 	w.version = c.Version
+	w.versions.ObserveRoutes(c, time.Now())
 	w.publish(c)
 }
 
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/position"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
+	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 )
 
@@ -75,7 +77,15 @@
 }
 
 func registered(id string) change.Registered {
-	return change.Registered{Endpoint: registry.Endpoint{ID: id, Service: "s", Address: id + ":1", Centre: "c", Slots: 1, State: registry.Ready}}
+	return change.Registered{Endpoint: registry.Endpoint{ID: id, Service: "s", Address: id + ":1", Centre: "c", Slots: 1, State: registry.Ready, Version: versionOf(id)}}
+}
+
+// versionOf returns the version of an endpoint's software: v2 if its id says so.
+func versionOf(id string) string {
+	if strings.HasPrefix(id, "v2") {
+		return "v2"
+	}
+	return "v1"
 }
 
 func (s *store) publish(version uint64) {
@@ -205,6 +215,7 @@
 
 // harness is a watcher of a simulated store with the clock of a synctest bubble.
 type harness struct {
+	versions  *versionset.Tracker
 	store     *store
 	freshness *freshness.Tracker
 	peer      *peerstatus.Latest
@@ -237,14 +248,15 @@
 func run(t *testing.T, f func(g *WithT, h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		h := &harness{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}, peer: peerstatus.New()}
+		h := &harness{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}, peer: peerstatus.New(), versions: versionset.New()}
 		h.freshness = freshness.New(func() time.Duration { return time.Since(start) + time.Hour })
 		endpoints := registry.New(func(all []*registry.Endpoint) {
 			h.index.Store(registry.NewIndex(all))
+			h.versions.Observe(all, time.Now())
 			h.updates.Add(1)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard(), tally.NoopScope)
+		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, h.versions, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard(), tally.NoopScope)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -338,6 +350,42 @@
 	})
 }
 
+// TestVersionsThatMayHaveBeenMissed guards against taking the version in sight for the only one: another one
+// was registered and removed between two answers of the store, or while its changes were lost.
+func TestVersionsThatMayHaveBeenMissed(t *testing.T) {
+	route := &catalog.Route{Kind: catalog.Stream, Targets: []catalog.Target{{Service: "s"}}}
+	for name, miss := range map[string]func(*harness){
+		"between two answers": func(h *harness) {
+			h.store.register("v2", true)
+			h.store.register("v2", false)
+		},
+		"lost changes": func(h *harness) { h.store.set(compacted) },
+		"told by another instance": func(h *harness) {
+			h.peer.Set(peerstatus.Report{
+				Position: revision(2), After: revision(0), Complete: true, ConfirmedAt: h.freshness.Now(),
+				Changes: []change.Change{registered("v2"), change.Unregistered{ID: "v2"}},
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(g *WithT, h *harness) {
+				only := func() bool {
+					_, ok := h.versions.Only(route, time.Now())
+					return ok
+				}
+				g.Expect(only()).To(BeFalse(), "just started")
+				time.Sleep(time.Minute)
+				g.Expect(only()).To(BeTrue())
+				miss(h)
+				time.Sleep(2 * time.Second)
+				g.Expect(only()).To(BeFalse())
+				time.Sleep(time.Minute)
+				g.Expect(only()).To(BeTrue())
+			})
+		})
+	}
+}
+
 // TestLongListIsNotGivenUp guards against a list that is given up and begun again for ever,
 // as all instances list thousands of endpoints at the same moment.
 func TestLongListIsNotGivenUp(t *testing.T) {
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -95,7 +95,7 @@
 	EndpointRefused:   {"endpoint_refused", http.StatusServiceUnavailable, "the endpoint refused before running, and the table trusts its refusals"},
 	PromptHeld:        {"prompt_held", http.StatusServiceUnavailable, "engines crashed under requests with a part of this prompt; the same prompt will be refused for minutes"},
 	RequestHeld:       {"request_held", http.StatusServiceUnavailable, "endpoints crashed under equal requests; if no time to return is given, they will be refused for an hour"},
-	StreamUnknown:     {"stream_unknown", http.StatusServiceUnavailable, "no instance knows which version of the endpoints' software began the stream, and there are several; start the request anew"},
+	StreamUnknown:     {"stream_unknown", http.StatusServiceUnavailable, "no instance knows which version of the endpoints' software began the stream, and several may have; start the request anew"},
 	VersionGone:       {"version_gone", http.StatusServiceUnavailable, "no endpoint of the version that began the stream may take it up; start the request anew"},
 	TicketRequired:    {"ticket_required", http.StatusPreconditionRequired, "the operation is not idempotent and needs a ticket"},
 	TicketInvalid:     {"ticket_invalid", http.StatusBadRequest, "the ticket is malformed, forged or of another client account"},
