Keepers of origins: two candidates and two seeds, so that half of the fleet may be lost

Callers' streams were given up after half of the instances had been killed at once: the instances that knew what began them, the first one and the two best candidates for coordinator, rank next to each other and were lost together.

TestOriginsOutlastInstances: the instance and the best two others stopped, found by none, also with a third keeper, as Reachable left out the fourth candidate.

Change: four keepers, two of them the best candidates, two seeds chosen by rendezvous hash; all known candidates are asked.

--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -20,6 +20,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/peer/rendezvous"
 )
 
 const (
@@ -188,21 +190,40 @@
 	return alone
 }
 
-// Keepers returns the addresses of the n best candidates besides this one that have answered it
-// in time. Instances that agree on the candidates get the same ones, themselves left out.
+// Keepers returns the addresses of n other instances that have answered this one in time: for one half
+// the best candidates, for the other half seeds, chosen by this instance's address, so that they are
+// seldom lost together. Where there are too few seeds, further candidates take their places. Every instance
+// knows all of these addresses.
 func (e *Election) Keepers(n int, now time.Time) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var list []string
+	var candidates, seeds []string
 	for _, c := range e.ranked(now) {
-		r := e.records[c.Address]
-		if len(list) < n && !r.failed && now.Sub(r.lastAnswer) <= candidateTimeout {
-			list = append(list, c.Address)
+		if e.inContact(c.Address, now) {
+			candidates = append(candidates, c.Address)
+		}
+	}
+	list := slices.Clone(candidates[:min(len(candidates), n/2)])
+	for _, s := range e.seeds {
+		if s != e.self.Address && !slices.Contains(list, s) && e.inContact(s, now) {
+			seeds = append(seeds, s)
+		}
+	}
+	list = append(list, rendezvous.Choose(e.self.Address, seeds, n-len(list))...)
+	for _, c := range candidates {
+		if len(list) < n && !slices.Contains(list, c) {
+			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// inContact reports whether the instance at address has answered a poll in time. The caller holds e.mu.
+func (e *Election) inContact(address string, now time.Time) bool {
+	r := e.records[address]
+	return r != nil && !r.failed && now.Sub(r.lastAnswer) <= candidateTimeout
+}
+
 // Reachable returns the addresses of instances that may answer a call: the best candidates, as
 // many as are told to others, and the seeds, this one left out.
 func (e *Election) Reachable(now time.Time) []string {
@@ -210,7 +231,7 @@
 	defer e.mu.Unlock()
 	var list []string
 	for _, c := range e.ranked(now) {
-		if len(list) < MaxCandidates-1 {
+		if len(list) < MaxCandidates {
 			list = append(list, c.Address)
 		}
 	}
--- a/internal/stage/election/election_test.go
+++ b/internal/stage/election/election_test.go
@@ -237,3 +237,31 @@
 	f.run(100)
 	NewWithT(t).Expect(float64(f.polls)/100/86).To(BeNumerically("<=", 2.5), "polls per instance and round")
 }
+
+// TestKeepersSurviveLosses guards against keepers that are lost together, as when the instances that started
+// last are stopped, and against ones that other instances do not ask.
+func TestKeepersSurviveLosses(t *testing.T) {
+	for _, n := range []int{1, 2, 4, 6, 9, 86} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(n)
+			f.run(8)
+			for _, in := range f.instances {
+				keepers := in.Keepers(4, f.now)
+				g.Expect(keepers).To(HaveLen(min(4, n-1)), in.address)
+				g.Expect(keepers).NotTo(ContainElement(in.address))
+				for _, other := range f.instances {
+					asked := append(other.Reachable(f.now), other.address)
+					for _, k := range keepers {
+						g.Expect(asked).To(ContainElement(k), "%s, asked by %s", in.address, other.address)
+					}
+				}
+				if n < 6 {
+					continue
+				}
+				lost := func(k string) bool { return k > fmt.Sprint("i", n/2) || len(k) > 2 }
+				g.Expect(keepers).NotTo(HaveEach(Satisfy(lost)), "%s: the later half is lost", in.address)
+			}
+		})
+	}
+}
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// numKeepers is to how many other instances each record is told: the best candidates,
-	// which all instances know.
-	numKeepers = 2
+	// numKeepers is to how many other instances each record is told: candidates and seeds, which
+	// all instances know.
+	numKeepers = 4
 	// beginInterval is how long records are collected for a keeper that is not the
 	// coordinator, which gets messages about most streams anyway.
 	beginInterval = 100 * time.Millisecond
--- a/internal/stage/forwarder/origins_test.go
+++ b/internal/stage/forwarder/origins_test.go
@@ -25,6 +25,7 @@
 		"it":                              {served},
 		"it and the coordinator":          {served, 0},
 		"it and the next coordinator":     {served, 1},
+		"it and the best two others":      {served, 0, 1},
 		"the coordinator, then it":        {0, served},
 		"both keepers, which are renewed": {0, 1},
 	} {
