Pool: a connection carries a request's id once

Cause: a late copy of an endpoint's rejection arrives when the connection carries the next request. If that is another send of the same request, the id in the copy fits, and the request is taken for rejected while it runs.

Why the fix works: an answer names a request, not a send, so the connection has to tell sends apart. Each connection remembers the hashes of the ids that it has carried, and the pool takes one that has not carried the id: a copy of an earlier answer then names another request and is skipped. Nothing is forgotten: after 512 requests (4 KB of hashes, as much as its read buffer) a connection is not used again. If all idle connections have carried the id, the oldest one is closed, so that a caller with one id for all its requests does not pile up connections. Numbers kept by the exchange instead would cover only one request's own sends: not a caller that uses an id twice, nor a request that comes back over another instance. Not using a connection again after a rejection would cost a new one for each. Calls without an id are unaffected.

The lines 'sent' and 'sent to another instance' name the connection and the number of answers to other requests that came before the answer.

--- a/internal/edge/connpool/conn.go
+++ b/internal/edge/connpool/conn.go
@@ -9,26 +9,45 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
 type conn struct {
 	net.Conn
+	number    uint64 // in the order in which the pool made them
 	name      string
 	limit     *limitedReader
 	br        *bufio.Reader // reads from limit
 	reused    bool
 	expiresAt time.Time // no request is sent on the connection from this time on
+	carried   []uint64  // hashes of the ids of the requests that were sent on the connection
 }
 
-func newConn(raw net.Conn, name string) *conn {
+func newConn(raw net.Conn, name string, number uint64) *conn {
 	limit := &limitedReader{from: raw, left: math.MaxInt64}
-	return &conn{Conn: raw, name: name, limit: limit, br: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{Conn: raw, number: number, name: name, limit: limit, br: bufio.NewReaderSize(limit, readBufferBytes)}
+}
+
+// hasCarried reports whether a request with the given hash of its id was sent on the connection.
+// Requests without an id were not.
+func (c *conn) hasCarried(id uint64) bool { return id != 0 && slices.Contains(c.carried, id) }
+
+// isWornOut reports whether the connection has carried as many requests as it can remember.
+func (c *conn) isWornOut() bool { return len(c.carried) >= maxRequestsPerConn }
+
+// hashID returns a hash of the id of a request, which is not zero, or zero if there is no id.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return max(1, xxhash.Sum64String(id))
 }
 
 // errTooLong is returned for bytes beyond the limit of what is being read.
--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -4,6 +4,10 @@
 // writes the request to at most one connection, and the error says whether any
 // byte was written. Callers need that to decide whether a request that must not
 // run twice may be retried.
+//
+// A response belongs to a send. Endpoints may send a second copy of a response
+// when the connection carries the next request, and responses name the request
+// but not the send, so a connection never carries two requests with the same id.
 package connpool
 
 // This file defines Pool.
@@ -12,6 +16,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +34,7 @@
 	maxForeignBytes     = 1 << 20                // of the body of such a response
 	maxHeadBytes        = 64 << 10               // of the status line and headers of a response
 	readBufferBytes     = 4 << 10                // fits a typical event or the headers of a response
+	maxRequestsPerConn  = 512                    // requests with an id that one connection carries; the hash of an id takes 8 bytes
 	maxInlineBodyBytes  = 16 << 10               // larger bodies are written while the response is read, since an endpoint may respond before it has read them
 )
 
@@ -38,6 +44,7 @@
 	mu             sync.Mutex
 	idle           map[string][]*conn // most recently used last
 	putsSinceSweep int
+	conns          uint64 // made so far
 	closed         bool
 	dial           Dial
 	observer       Observer
@@ -105,12 +112,12 @@
 	clear(p.idle)
 }
 
-// get returns a connection to the named endpoint: the most recently used idle
-// connection that is still usable, or else a new one. The error is a
-// *failure.Failure of kind Unsent.
-func (p *Pool) get(ctx context.Context, name, address string) (*conn, error) {
+// get returns a connection to the named endpoint for a request whose id has the
+// given hash: the most recently used idle connection that is still usable, or
+// else a new one. The error is a *failure.Failure of kind Unsent.
+func (p *Pool) get(ctx context.Context, name, address string, id uint64) (*conn, error) {
 	for {
-		c := p.take(name)
+		c := p.take(name, id)
 		if c == nil {
 			break
 		}
@@ -123,7 +130,15 @@
 	if err != nil {
 		return nil, failure.New(failure.Unsent, err, "connecting to %s", address)
 	}
-	return newConn(raw, name), nil
+	return p.newConn(raw, name), nil
+}
+
+// newConn returns a new connection with the next number.
+func (p *Pool) newConn(raw net.Conn, name string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns++
+	return newConn(raw, name, p.conns)
 }
 
 // connect makes a new connection and tells the observer.
@@ -142,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	c := newConn(raw, name)
+	c := p.newConn(raw, name)
 	if p.hasIdle(name) {
 		c.Close()
 		return nil
@@ -159,17 +174,25 @@
 }
 
 // take removes and returns the most recently used idle connection to the named
-// endpoint, or nil if there is none. It may no longer be usable.
-func (p *Pool) take(name string) *conn {
+// endpoint that has not carried a request with the given hash of its id, or nil
+// if there is none. It may no longer be usable. If all idle connections have
+// carried one, the oldest of them is closed to make room for a new connection:
+// endpoints limit the connections of all instances together.
+func (p *Pool) take(name string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[name]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.hasCarried(id) {
+			p.idle[name] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[name] = list[:len(list)-1]
-	return c
+	if len(list) > 0 {
+		list[0].Close()
+		p.idle[name] = slices.Delete(list, 0, 1)
+	}
+	return nil
 }
 
 // put returns a connection that is ready for another request to the pool.
--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -24,6 +24,9 @@
 	Host         string
 	Header       http.Header
 	Body         []byte
+	// ID is the id by which Matches knows the responses to the request. It is
+	// empty if responses name no request.
+	ID string
 	// Matches reports whether a response with the given headers belongs to the
 	// request. On a reused connection, responses that do not are skipped. If it
 	// is nil, every response is accepted.
@@ -38,6 +41,9 @@
 	Body   io.Reader
 	Reused bool // whether the connection had carried a request before
 
+	Connection uint64 // number of the connection among those of the pool
+	Skipped    int    // responses to other requests that came before it
+
 	pool      *Pool
 	conn      *conn
 	raw       *http.Response
@@ -53,11 +59,15 @@
 // written, Late if the context ended after the connection was established,
 // Foreign if only responses to other requests arrived, and Lost otherwise.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.EndpointName, r.Address)
+	id := hashID(r.ID)
+	c, err := p.get(ctx, r.EndpointName, r.Address, id)
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{pool: p, conn: c, Reused: c.reused}
+	if id != 0 {
+		c.carried = append(c.carried, id)
+	}
+	resp := &Response{pool: p, conn: c, Reused: c.reused, Connection: c.number}
 	p.observer.Started(c.name, time.Now())
 	resp.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
 	if err := resp.roundTrip(r); err != nil {
@@ -125,6 +135,7 @@
 		if !resp.Reused {
 			break
 		}
+		resp.Skipped++
 		limit.left = maxForeignBytes
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			break
@@ -151,11 +162,12 @@
 
 // Close ends the use of the response. Its connection returns to the pool only
 // if the body was read to the end, no data follows it, the request was written
-// completely and the endpoint allows reuse. Otherwise the connection is closed.
+// completely, and the endpoint and the requests so far allow reuse. Otherwise the
+// connection is closed.
 func (resp *Response) Close() {
 	stopped := resp.stopWatch()
 	resp.pool.observer.Ended(resp.conn.name)
-	if stopped && !resp.aborted && resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent() && resp.conn.setExpiry(resp.Header, time.Now()) {
+	if stopped && !resp.aborted && resp.isComplete() && !resp.conn.isWornOut() && resp.conn.setExpiry(resp.Header, time.Now()) {
 		resp.pool.put(resp.conn)
 		return
 	}
@@ -166,6 +178,12 @@
 // expected.
 func (resp *Response) Abort() { resp.aborted = true }
 
+// isComplete reports whether the request has been written and the response read to their ends, and
+// the connection can carry more.
+func (resp *Response) isComplete() bool {
+	return resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent()
+}
+
 // requestSent reports whether the whole request has been written.
 func (resp *Response) requestSent() bool {
 	if resp.bodySent == nil {
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -381,7 +381,7 @@
 		resume = x.stream.lastEventID
 	}
 	return &connpool.Request{
-		EndpointName: e.Name(), Address: e.Address, Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body,
+		EndpointName: e.Name(), Address: e.Address, Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body, ID: req.ID,
 		Header: x.codec.RequestHeader(req, protocol.Attempt{
 			Endpoint: e, TimeLeft: left, Inputs: x.prepared.Inputs, HasStages: len(req.Route.Stages) > 0, LastEventID: resume,
 		}),
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -110,14 +110,13 @@
 }
 
 func (x *exchange) logRelay(address string, left time.Duration, resp *connpool.Response, err error) {
-	outcome, status := "answered", 0
+	outcome := "answered"
 	if err != nil {
-		outcome = err.Error()
-	} else {
-		status = resp.Status
+		outcome, resp = err.Error(), &connpool.Response{}
 	}
 	x.log.Info("sent to another instance", "request", x.request.ID, "instance", address, "service", x.request.Service, "left", left.String(),
-		"after", time.Since(x.request.Received).String(), "runs", x.possibleRuns, "status", status, "outcome", outcome)
+		"after", time.Since(x.request.Received).String(), "runs", x.possibleRuns, "status", resp.Status,
+		"connection", resp.Connection, "skipped", resp.Skipped, "outcome", outcome)
 }
 
 // relayRequest builds the request to another instance. A stream of which the caller holds events
@@ -132,7 +131,7 @@
 		a.Resumes = req.ID
 	}
 	return &connpool.Request{
-		EndpointName: "instance " + address, Address: address, Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body,
+		EndpointName: "instance " + address, Address: address, Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body, ID: req.ID,
 		Header: x.codec.RelayHeader(req, a), Matches: func(h http.Header) bool { return x.codec.Matches(req, h) },
 	}
 }
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -55,14 +55,13 @@
 
 // logSend logs the outcome of a send: its error, or the status of the response.
 func (x *exchange) logSend(lease *dispatcher.Lease, e *registry.Endpoint, left time.Duration, resp *connpool.Response, err error) {
-	outcome, status, reused := "", 0, false
+	outcome := "answered"
 	if err != nil {
-		outcome = err.Error()
-	} else {
-		outcome, status, reused = "answered", resp.Status, resp.Reused
+		outcome, resp = err.Error(), &connpool.Response{}
 	}
 	x.log.Info("sent", "request", x.request.ID, "endpoint", e.ID, "version", e.Version, "state", e.State.String(), "send", x.sends, "left", left.String(),
-		"ground", lease.Reason, "after", time.Since(x.request.Received).String(), "status", status, "reused", reused, "outcome", outcome)
+		"ground", lease.Reason, "after", time.Since(x.request.Received).String(), "status", resp.Status, "reused", resp.Reused,
+		"connection", resp.Connection, "skipped", resp.Skipped, "outcome", outcome)
 }
 
 // reportLoad passes on the load that the response reports, if any.
