--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -175,7 +175,7 @@
 }
 
 // Abort makes Close close the connection, since the response is not the one that was
-// expected.
+// expected, or a late copy of it would not be recognized.
 func (resp *Response) Abort() { resp.aborted = true }
 
 // isComplete reports whether the request has been written and the response read to their ends, and
