Stages: late copies are recognized by connection, not by the last eight answers

Seen by callers: results of another request (MIXED) were possible.

Cause: a second copy of an answer was recognized among the last eight answers of its endpoint. It comes on the connection of the first, which may have been idle while others carried more.

Why the fix works: the connection remembers the handles beside the ids of requests, and is given up before it forgets one.

--- a/internal/edge/connpool/conn.go
+++ b/internal/edge/connpool/conn.go
@@ -27,7 +27,7 @@
 	br        *bufio.Reader // reads from limit
 	reused    bool
 	expiresAt time.Time // no request is sent on the connection from this time on
-	carried   []uint64  // hashes of the ids of the requests that were sent on the connection
+	carried   []uint64  // hashes of the ids of the requests and responses on the connection
 }
 
 func newConn(raw net.Conn, name string, number uint64) *conn {
@@ -35,14 +35,21 @@
 	return &conn{Conn: raw, number: number, name: name, limit: limit, br: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
-// hasCarried reports whether a request with the given hash of its id was sent on the connection.
-// Requests without an id were not.
+// hasCarried reports whether the connection has carried a request or response with the given hash of
+// its id. One without an id is not remembered.
 func (c *conn) hasCarried(id uint64) bool { return id != 0 && slices.Contains(c.carried, id) }
 
-// isWornOut reports whether the connection has carried as many requests as it can remember.
-func (c *conn) isWornOut() bool { return len(c.carried) >= maxRequestsPerConn }
+// remember records the hash of the id of a request or response.
+func (c *conn) remember(id uint64) {
+	if id != 0 {
+		c.carried = append(c.carried, id)
+	}
+}
+
+// isWornOut reports whether the connection has carried as much as it can remember.
+func (c *conn) isWornOut() bool { return len(c.carried) >= maxIDsPerConn }
 
-// hashID returns a hash of the id of a request, which is not zero, or zero if there is no id.
+// hashID returns a hash of the id of a request or response, which is not zero, or zero if there is no id.
 func hashID(id string) uint64 {
 	if id == "" {
 		return 0
--- a/internal/edge/connpool/pool.go
+++ b/internal/edge/connpool/pool.go
@@ -34,7 +34,7 @@
 	maxForeignBytes     = 1 << 20                // of the body of such a response
 	maxHeadBytes        = 64 << 10               // of the status line and headers of a response
 	readBufferBytes     = 4 << 10                // fits a typical event or the headers of a response
-	maxRequestsPerConn  = 512                    // requests with an id that one connection carries; the hash of an id takes 8 bytes
+	maxIDsPerConn       = 512                    // ids of requests and responses that one connection carries; the hash of an id takes 8 bytes
 	maxInlineBodyBytes  = 16 << 10               // larger bodies are written while the response is read, since an endpoint may respond before it has read them
 )
 
--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -64,9 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if id != 0 {
-		c.carried = append(c.carried, id)
-	}
+	c.remember(id)
 	resp := &Response{pool: p, conn: c, Reused: c.reused, Connection: c.number}
 	p.observer.Started(c.name, time.Now())
 	resp.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
@@ -174,6 +172,17 @@
 	resp.conn.Close()
 }
 
+// Identify records an id that only this response has. It returns false if an earlier response
+// on the same connection had it: this one is a late copy then.
+func (resp *Response) Identify(id string) bool {
+	h := hashID(id)
+	if resp.conn.hasCarried(h) {
+		return false
+	}
+	resp.conn.remember(h)
+	return true
+}
+
 // Abort makes Close close the connection, since the response is not the one that was
 // expected, or a late copy of it would not be recognized.
 func (resp *Response) Abort() { resp.aborted = true }
