Proxy: no promise 'not run' after a send that may have run

Seen by callers: a stream that may be resumed, or another request that may be repeated, was answered 503 although it may have run. Requests that may run once only are not sent again after such a send, so the rule REFUSED held; the promise of the code, and of docs/CODES.md, did not.

Cause: the faults of the preparation and of a stream of unknown origin were returned as they are, whatever had happened before.

Why the fix works: the fault of a request passes one place, which turns a code of class 'not run' into answer_lost if any send may have run, here or at the instance that sent the request here.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -30,6 +30,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
+	"github.com/jacinthstile/jacinthstile/internal/result/class"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
 	"github.com/jacinthstile/jacinthstile/internal/routing/picker"
@@ -154,7 +155,17 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return fault.From(err)
+	return x.faultOf(err)
+}
+
+// faultOf returns the fault of a request that ended with an error. Whatever came up later, one that
+// may have run is not said not to have run.
+func (x *exchange) faultOf(err error) *fault.Fault {
+	f := fault.From(err)
+	if x.mayHaveRun && f.Code.Class() == class.NotRun {
+		return fault.Wrap(code.AnswerLost, f, "not repeated")
+	}
+	return f
 }
 
 // ErrStreamBroken means that a stream failed after its headers were written and could
