Peers: one text that is no UTF-8 doesn't keep a message from being sent

What callers saw: nothing is reported. An order whose request id is no UTF-8 did not reach the coordinator, and the progress of all requests in the same message was lost; a group of prompt parts held back, or a text of the store, would have kept an instance from polling and from answering polls at all.

Cause: strings of messages must be UTF-8, or the encoder returns an error for the whole message. Header values may have any bytes above 0x7f.

Evidence: TestOddTextOfACaller before the change:

all orders go to the coordinator: Expected <int64>: 4 to be zero-valued

Such texts are now repaired in a copy of the message, only if it can't be encoded as it is. Older builds read these messages as any other.

--- a/internal/peer/transport/serve.go
+++ b/internal/peer/transport/serve.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -216,7 +217,7 @@
 		return err
 	})
 	if err != nil {
-		return &peerpb.Response{Error: err.Error()}
+		return &peerpb.Response{Error: strings.ToValidUTF8(err.Error(), "\uFFFD")}
 	}
 	return &peerpb.Response{Body: body}
 }
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/peer/encoding"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 )
@@ -166,7 +167,7 @@
 }
 
 func (t *Transport) call(ctx context.Context, address string, want *identity.Identity, m method.Method, in, out proto.Message) (identity.Identity, error) {
-	body, err := proto.Marshal(in)
+	body, err := encoding.Marshal(in)
 	if err != nil {
 		return identity.Identity{}, &UnreachableError{Address: address, Cause: err}
 	}
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -396,6 +396,26 @@
 	}, waitLimit).Should(BeTrue(), "a catalog is not sent")
 }
 
+// TestOddTextOfACaller guards against orders that are not sent to the coordinator, and against progress of other requests
+// that is lost, as the id of a caller's request is no UTF-8.
+func TestOddTextOfACaller(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	weak, strong := c.start(t, &fakeExecutor{name: "weak"}, 100), c.start(t, &fakeExecutor{name: "strong"}, 400)
+	var started []func()
+	for _, id := range []string{"r1", "r2\xff", "r3"} {
+		p, err := weak.Prepare(t.Context(), c.round(id, 8*time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		started = append(started, p.Started)
+	}
+	g.Expect(strong.made.Load()).To(BeNumerically(">", 0))
+	g.Expect(weak.made.Load()).To(BeZero(), "all orders go to the coordinator")
+	for _, f := range started {
+		f()
+	}
+	g.Eventually(func() bool { return strong.freed.Load() == strong.made.Load() }, waitLimit).Should(BeTrue(), "the results of all are freed")
+}
+
 // TestNewestVersionReachesAllInstances guards against an instance that trusts a store
 // which has lost the newest version of the catalog: it must learn of that version also
 // from an instance that is not the leader, and through a third one.
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/originlog"
+	"github.com/jacinthstile/jacinthstile/internal/peer/encoding"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
@@ -151,7 +152,7 @@
 			return nil, err
 		}
 		o, _ := f.origins.lookup(in.Stream, time.Now())
-		return proto.Marshal(&stagepb.OriginAnswer{Service: o.Service, Version: o.Version})
+		return encoding.Marshal(&stagepb.OriginAnswer{Service: o.Service, Version: o.Version})
 	})
 }
 
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/peer/encoding"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/result/fault"
@@ -58,7 +59,7 @@
 			answer.Departed = f.encodeDeparted(now)
 			answer.Limits = append(answer.Limits, encodeLimits(f.notices.KnownLimits(), now)...)
 		}
-		return proto.Marshal(answer)
+		return encoding.Marshal(answer)
 	})
 	f.transport.HandleCancellable(method.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
@@ -166,7 +167,7 @@
 	if err != nil && isLost(err) {
 		return nil, err
 	}
-	return proto.Marshal(encodeOutcome(r, err))
+	return encoding.Marshal(encodeOutcome(r, err))
 }
 
 // encodeOutcome returns the message that answers an order. The error is nil or a *fault.Fault.
