Odd entries are logged once, and don't update all endpoints each

Cause: each entry that can't be decoded had a line of the log at each write and each list, and rebuilt the index, the routing table and the set of versions of all endpoints, although it removed none. A list did so for each odd entry.

An endpoint's entry is logged again only after it could be decoded or was removed; beyond 100 such entries their number is logged as it doubles. The registry updates only if it knew the endpoint, and once for a list.

--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -108,8 +108,11 @@
 func (r *Registry) Remove(id string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_, known := r.endpoints[id]
 	gone := r.remove(id, now)
-	r.publish()
+	if known {
+		r.publish()
+	}
 	return gone
 }
 
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -60,6 +60,7 @@
 	// one before it trusts the store: the store may have lost a version of the catalog
 	// that others still have in force. It covers two polls of the seeds.
 	peerTimeout = 600 * time.Millisecond
+	maxIgnored  = 100 // entries that cannot be decoded, from which on only their number is logged
 )
 
 // Watcher lists and watches one Source. Only Status and History may be called while
@@ -87,7 +88,8 @@
 	restoredAt       time.Duration   // when this instance itself saw the store come back from a copy; zero if it did not
 	unreachable      bool            // whether the last call to the store failed
 	unreachableSince time.Time
-	failedCalls      int // since unreachableSince
+	failedCalls      int             // since unreachableSince
+	ignored          map[string]bool // endpoints whose registrations cannot be decoded, until they can be or are removed
 }
 
 // New returns a Watcher that calls publish with each newer catalog and keeps r and
@@ -96,7 +98,7 @@
 func New(s Source, peer *peerstatus.Latest, t *freshness.Tracker, r *registry.Registry, publish func(*catalog.Catalog), log logr.Logger, scope tally.Scope) *Watcher {
 	w := &Watcher{
 		source: s, peer: peer, freshness: t, registry: r, publish: publish, log: log, history: history.New(), guard: restore.New(),
-		verdict: restore.Proven, restores: scope.Counter("store_restores"), failures: scope.Counter("store_call_failures"), lost: scope.Counter("catalog_versions_lost"),
+		verdict: restore.Proven, ignored: make(map[string]bool), restores: scope.Counter("store_restores"), failures: scope.Counter("store_call_failures"), lost: scope.Counter("catalog_versions_lost"),
 	}
 	w.status.Store(new(Status))
 	return w
@@ -208,6 +210,24 @@
 		return err
 	}
 	w.setReachable("it answered")
+	first := !w.position.Known()
+	endpoints := w.applyList(changes, at, !first && at.Era > w.position.Era)
+	w.log.Info("store listed", "position", at.String(), "endpoints", endpoints, "version", w.version)
+	w.position, w.listed = at, true
+	w.history.Reset(at)
+	w.shareStatus()
+	// A store that has never come back from a copy has lost nothing.
+	if first && at.Era > 0 && w.awaitPeers(ctx).Version > w.version {
+		return nil // the store is asked again, which then must have that version
+	}
+	w.confirm(started, fleet.Version)
+	return nil
+}
+
+// applyList replaces the state by a list, updates the registry once and returns the number of endpoints.
+func (w *Watcher) applyList(changes []change.Change, at position.Position, restored bool) int {
+	release := w.registry.Hold()
+	defer release()
 	var endpoints []registry.Endpoint
 	for _, c := range changes {
 		if r, ok := c.(change.Registered); ok {
@@ -216,23 +236,13 @@
 		}
 		w.apply(c)
 	}
-	first := !w.position.Known()
-	if !first && at.Era > w.position.Era {
+	if restored {
 		w.setRestored(at)
 		w.registry.SyncRestored(endpoints, time.Now())
 	} else {
 		w.registry.Sync(endpoints, time.Now())
 	}
-	w.log.Info("store listed", "position", at.String(), "endpoints", len(endpoints), "version", w.version)
-	w.position, w.listed = at, true
-	w.history.Reset(at)
-	w.shareStatus()
-	// A store that has never come back from a copy has lost nothing.
-	if first && at.Era > 0 && w.awaitPeers(ctx).Version > w.version {
-		return nil // the store is asked again, which then must have that version
-	}
-	w.confirm(started, fleet.Version)
-	return nil
+	return len(endpoints)
 }
 
 // watch waits for changes in the store and applies them. The call begins at least
@@ -295,13 +305,18 @@
 		w.applyCatalog(c.Catalog)
 	case change.Registered:
 		e := c.Endpoint
+		delete(w.ignored, e.ID)
 		w.log.Info("endpoint registered", "endpoint", e.ID, "service", e.Service, "state", e.State.String(), "born", e.StartTime)
 		w.registry.Put(e, time.Now())
 	case change.Unregistered:
 		gone := w.registry.Remove(c.ID, time.Now())
+		if w.ignored[c.ID] {
+			delete(w.ignored, c.ID)
+			return
+		}
 		w.log.Info("endpoint unregistered", "endpoint", c.ID, "gone", gone)
 	case change.Unreadable:
-		w.log.Info("entry ignored", "endpoint", c.Endpoint, "reason", c.Reason.Error(), "version", w.version)
+		w.logIgnored(c)
 		if c.Endpoint != "" {
 			w.registry.Remove(c.Endpoint, time.Now())
 		}
@@ -310,6 +325,24 @@
 	}
 }
 
+// logIgnored logs an entry that cannot be decoded, but an endpoint's only once until it can be decoded or is
+// removed: another program may write it again and again.
+func (w *Watcher) logIgnored(c change.Unreadable) {
+	if c.Endpoint != "" {
+		if w.ignored[c.Endpoint] {
+			return
+		}
+		w.ignored[c.Endpoint] = true
+		if n := len(w.ignored); n > maxIgnored {
+			if n&(n-1) == 0 {
+				w.log.Info("many entries ignored, of which not each is logged", "entries", n)
+			}
+			return
+		}
+	}
+	w.log.Info("entry ignored", "endpoint", c.Endpoint, "reason", c.Reason.Error(), "version", w.version)
+}
+
 // applyCatalog puts a catalog in force, unless its version is not newer than the one
 // in force.
 func (w *Watcher) applyCatalog(c *catalog.Catalog) {
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -5,13 +5,14 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
@@ -212,6 +213,7 @@
 	version   atomic.Uint64 // of the catalog in force
 	index     atomic.Pointer[registry.Index]
 	updates   atomic.Int64 // number of updates of index
+	ignored   atomic.Int64 // lines of the log about ignored entries
 }
 
 // accepts reports whether the endpoint is known and accepts new work.
@@ -244,7 +246,12 @@
 			h.updates.Add(1)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard(), tally.NoopScope)
+		log := funcr.New(func(_, line string) {
+			if strings.Contains(line, "ignored") {
+				h.ignored.Add(1)
+			}
+		}, funcr.Options{})
+		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, func(c *catalog.Catalog) { h.version.Store(c.Version) }, log, tally.NoopScope)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -366,6 +373,33 @@
 	})
 }
 
+// TestIgnoredEntriesAreLoggedOnce guards against a log that is filled by a program which writes odd entries again and
+// again or by the thousand, and against updating all endpoints for each of them.
+func TestIgnoredEntriesAreLoggedOnce(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		odd := func(from, to int) {
+			h.store.mu.Lock()
+			for i := from; i < to; i++ {
+				h.store.events = append(h.store.events, change.Unreadable{Endpoint: fmt.Sprint("odd", i), Reason: errDown})
+			}
+			h.store.mu.Unlock()
+			time.Sleep(noticeTime)
+		}
+		updates := h.updates.Load()
+		for range 10 {
+			odd(0, 1)
+		}
+		g.Expect(h.ignored.Load()).To(BeEquivalentTo(1))
+		odd(0, 5000)
+		g.Expect(h.ignored.Load()).To(BeNumerically("<", 120))
+		g.Expect(h.updates.Load()).To(Equal(updates))
+		h.store.register("odd0", true)
+		time.Sleep(noticeTime)
+		g.Expect(h.accepts("odd0")).To(BeTrue())
+		g.Expect(h.updates.Load()).To(Equal(updates + 1))
+	})
+}
+
 // TestReportsReplaceCalls guards against needless load on the store: while another
 // instance reports that nothing changed, no call is made and the confirmations stay
 // recent. When it reports a newer revision, the store is asked.
