Changes that don't fit in one answer of the store are listed

Cause: an answer to a watch was cut at 16 MB, which is no JSON; the next watch asked for the same changes, for ever. Twenty entries of 1 MB are enough.

--- a/internal/edge/watcher/source.go
+++ b/internal/edge/watcher/source.go
@@ -19,6 +19,10 @@
 // requested position, so that its revisions no longer count the same changes.
 var ErrNewEra = errors.New("the store came back from a copy")
 
+// ErrTooLong is returned by Source.Watch if the changes after the requested position are more than one answer
+// may have. A list comes in pages.
+var ErrTooLong = errors.New("the changes are too long for one answer")
+
 // Source is a store that can be listed and watched, but not written.
 type Source interface {
 	// List returns all entries of the store as changes, and the position from
@@ -30,7 +34,7 @@
 	// position from which to continue, which is of the same era. If there are none
 	// within wait, it returns no changes. It returns ErrCompacted if the store no
 	// longer holds all changes after the position, and ErrNewEra if the position
-	// is of an earlier era; the caller must then call List. It gives up early on a
+	// is of an earlier era, or ErrTooLong; the caller must then call List. It gives up early on a
 	// store that does not answer, but not on a large answer that progresses.
 	Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error)
 	// NewestEra returns the newest era that any answer of the store has shown,
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -178,7 +178,7 @@
 		return nil
 	}
 	err := w.watch(ctx, wait, interval)
-	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrNewEra) {
+	if needsList(err) {
 		w.log.Info("changes lost, listing again", "position", w.position.String(), "reason", err.Error())
 		w.listed = false
 		return w.list(ctx)
@@ -186,6 +186,11 @@
 	return err
 }
 
+// needsList reports whether the error of a watch means that the changes can't be had from it.
+func needsList(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrNewEra) || errors.Is(err, ErrTooLong)
+}
+
 // awaitReport waits for the next report of another instance, at most until the
 // latest one is too old.
 func (w *Watcher) awaitReport(ctx context.Context) {
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -33,6 +33,7 @@
 	down               // calls fail at once
 	unresponsive       // calls get no answer
 	compacted          // watches fail until the store is listed
+	overlong           // the same, as the changes don't fit in one answer
 )
 
 var (
@@ -164,7 +165,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state == compacted {
+	if s.state == compacted || s.state == overlong {
 		s.state = healthy
 	}
 	list := []change.Change{published(s.version)}
@@ -185,6 +186,8 @@
 		switch {
 		case st == compacted:
 			return nil, at, watcher.ErrCompacted
+		case st == overlong:
+			return nil, at, watcher.ErrTooLong
 		case st == unresponsive:
 			return nil, at, giveUp(ctx, time.Until(end)+answerMargin)
 		case st == down:
@@ -400,6 +403,18 @@
 	})
 }
 
+// TestChangesTooLongForOneAnswer guards against an instance that never follows the store again, as the changes since
+// its position don't fit in one answer.
+func TestChangesTooLongForOneAnswer(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		h.store.set(overlong)
+		h.store.register("c", true)
+		time.Sleep(noticeTime)
+		g.Expect(h.accepts("c")).To(BeTrue())
+		g.Expect(h.freshness.Within(revoke / 2)).To(BeTrue())
+	})
+}
+
 // TestReportsReplaceCalls guards against needless load on the store: while another
 // instance reports that nothing changed, no call is made and the confirmations stay
 // recent. When it reports a newer revision, the store is asked.
