--- a/internal/edge/registry/endpoint.go
+++ b/internal/edge/registry/endpoint.go
@@ -4,7 +4,18 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Limits of a registration. Other programs write to the store too.
+const (
+	maxTextBytes = 256     // of each text
+	maxSlots     = 1 << 20 // requests
+	maxStartTime = 1 << 53 // Unix milliseconds
 )
 
 // State is the state of an endpoint as this instance knows it.
@@ -47,5 +58,33 @@
 // after a restart, while ID stays the same.
 func (e *Endpoint) Name() string { return e.ID + "@" + strconv.FormatInt(e.StartTime, 10) }
 
+// Check returns an error, of a bounded length, unless the registration is that of an endpoint that can
+// be used.
+func (e *Endpoint) Check() error {
+	for _, t := range []struct {
+		field, text string
+		optional    bool
+	}{{"id", e.ID, false}, {"service", e.Service, false}, {"centre", e.Centre, false}, {"version", e.Version, true}} {
+		if t.text == "" && !t.optional || !isName(t.text) {
+			return fmt.Errorf("got %s %.40q of %d bytes, want a text of at most %d without control characters", t.field, t.text, len(t.text), maxTextBytes)
+		}
+	}
+	a, err := netip.ParseAddrPort(e.Address)
+	if err != nil || a.Port() == 0 || a.Addr().Zone() != "" || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return fmt.Errorf("got address %.40q, want IP:port", e.Address)
+	}
+	if e.Slots <= 0 || e.Slots > maxSlots {
+		return fmt.Errorf("got %d slots, want 1 to %d", e.Slots, maxSlots)
+	}
+	if e.StartTime < 0 || e.StartTime > maxStartTime {
+		return fmt.Errorf("got start time %d, want Unix milliseconds", e.StartTime)
+	}
+	return nil
+}
+
+func isName(text string) bool {
+	return len(text) <= maxTextBytes && utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // AcceptsWork reports whether the endpoint accepts new work.
 func (e *Endpoint) AcceptsWork() bool { return e.State != Draining }
--- a/internal/stage/forwarder/changes.go
+++ b/internal/stage/forwarder/changes.go
@@ -68,7 +68,12 @@
 	for _, c := range list {
 		switch k := c.Kind.(type) {
 		case *stagepb.Change_Registered:
-			changes = append(changes, change.Registered{Endpoint: decodeEndpoint(k.Registered)})
+			e := decodeEndpoint(k.Registered)
+			if err := e.Check(); err != nil {
+				changes = append(changes, change.Unreadable{Endpoint: e.ID, Reason: fmt.Errorf("a peer reported endpoint %.40q: %w", e.ID, err)})
+				continue
+			}
+			changes = append(changes, change.Registered{Endpoint: e})
 		case *stagepb.Change_Unregistered:
 			changes = append(changes, change.Unregistered{ID: k.Unregistered})
 		case *stagepb.Change_Unreadable:
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -396,6 +397,42 @@
 	}, waitLimit).Should(BeTrue(), "a catalog is not sent")
 }
 
+// TestOddEndpointOfAPeer guards against using an endpoint that a peer of an older build took from an odd entry, and
+// against leaving out the changes beside it.
+func TestOddEndpointOfAPeer(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	weak, strong := c.start(t, &fakeExecutor{name: "weak"}, 100), c.start(t, &fakeExecutor{name: "strong"}, 400)
+	sound := registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Centre: "a", Slots: 3, State: registry.Ready}
+	changes := []change.Change{change.Registered{Endpoint: sound}}
+	for i, alter := range []func(*registry.Endpoint){
+		func(e *registry.Endpoint) { e.Address = "10.0.0.1:70000" }, func(e *registry.Endpoint) { e.Address = "10.0.0.1:http" },
+		func(e *registry.Endpoint) { e.Slots = 1 << 31 }, func(e *registry.Endpoint) { e.StartTime = -1 },
+		func(e *registry.Endpoint) { e.Version = strings.Repeat("x", 1<<20) }, func(e *registry.Endpoint) { e.Centre = "a\xff\n" },
+	} {
+		odd := sound
+		odd.ID = fmt.Sprint("odd", i)
+		alter(&odd)
+		changes = append(changes, change.Registered{Endpoint: odd})
+	}
+	strong.history.Add(changes, at(5))
+	strong.revision.Store(5)
+	g.Eventually(func() bool {
+		n, ok := weak.peerStatus.Get()
+		return ok && n.Position == at(5)
+	}, waitLimit).Should(BeTrue())
+	n, _ := weak.peerStatus.Get()
+	g.Expect(n.Complete).To(BeTrue())
+	g.Expect(n.Changes).To(HaveLen(len(changes)))
+	g.Expect(n.Changes[0]).To(Equal(changes[0]))
+	for i, got := range n.Changes[1:] {
+		u, ok := got.(change.Unreadable)
+		g.Expect(ok).To(BeTrue(), "%v", got)
+		g.Expect(u.Endpoint).To(Equal(fmt.Sprint("odd", i)))
+		g.Expect(len(u.Reason.Error())).To(BeNumerically("<", 300))
+	}
+}
+
 // TestOddTextOfACaller guards against orders that are not sent to the coordinator, and against progress of other requests
 // that is lost, as the id of a caller's request is no UTF-8.
 func TestOddTextOfACaller(t *testing.T) {
