--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -12,7 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
@@ -34,6 +34,7 @@
 	down               // calls fail at once
 	unresponsive       // calls get no answer
 	compacted          // watches fail until the store is listed
+	overlong           // the same, as the changes don't fit in one answer
 )
 
 var (
@@ -173,7 +174,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state == compacted {
+	if s.state == compacted || s.state == overlong {
 		s.state = healthy
 	}
 	list := []change.Change{published(s.version)}
@@ -194,6 +195,8 @@
 		switch {
 		case st == compacted:
 			return nil, at, watcher.ErrCompacted
+		case st == overlong:
+			return nil, at, watcher.ErrTooLong
 		case st == unresponsive:
 			return nil, at, giveUp(ctx, time.Until(end)+answerMargin)
 		case st == down:
@@ -223,6 +226,7 @@
 	version   atomic.Uint64 // of the catalog in force
 	index     atomic.Pointer[registry.Index]
 	updates   atomic.Int64 // number of updates of index
+	ignored   atomic.Int64 // lines of the log about ignored entries
 }
 
 // accepts reports whether the endpoint is known and accepts new work.
@@ -256,7 +260,12 @@
 			h.updates.Add(1)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, h.versions, func(c *catalog.Catalog) { h.version.Store(c.Version) }, logr.Discard(), tally.NoopScope)
+		log := funcr.New(func(_, line string) {
+			if strings.Contains(line, "ignored") {
+				h.ignored.Add(1)
+			}
+		}, funcr.Options{})
+		h.watcher = watcher.New(h.store, h.peer, h.freshness, endpoints, h.versions, func(c *catalog.Catalog) { h.version.Store(c.Version) }, log, tally.NoopScope)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -414,6 +423,45 @@
 	})
 }
 
+// TestIgnoredEntriesAreLoggedOnce guards against a log that is filled by a program which writes odd entries again and
+// again or by the thousand, and against updating all endpoints for each of them.
+func TestIgnoredEntriesAreLoggedOnce(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		odd := func(from, to int) {
+			h.store.mu.Lock()
+			for i := from; i < to; i++ {
+				h.store.events = append(h.store.events, change.Unreadable{Endpoint: fmt.Sprint("odd", i), Reason: errDown})
+			}
+			h.store.mu.Unlock()
+			time.Sleep(noticeTime)
+		}
+		updates := h.updates.Load()
+		for range 10 {
+			odd(0, 1)
+		}
+		g.Expect(h.ignored.Load()).To(BeEquivalentTo(1))
+		odd(0, 5000)
+		g.Expect(h.ignored.Load()).To(BeNumerically("<", 120))
+		g.Expect(h.updates.Load()).To(Equal(updates))
+		h.store.register("odd0", true)
+		time.Sleep(noticeTime)
+		g.Expect(h.accepts("odd0")).To(BeTrue())
+		g.Expect(h.updates.Load()).To(Equal(updates + 1))
+	})
+}
+
+// TestChangesTooLongForOneAnswer guards against an instance that never follows the store again, as the changes since
+// its position don't fit in one answer.
+func TestChangesTooLongForOneAnswer(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		h.store.set(overlong)
+		h.store.register("c", true)
+		time.Sleep(noticeTime)
+		g.Expect(h.accepts("c")).To(BeTrue())
+		g.Expect(h.freshness.Within(revoke / 2)).To(BeTrue())
+	})
+}
+
 // TestReportsReplaceCalls guards against needless load on the store: while another
 // instance reports that nothing changed, no call is made and the confirmations stay
 // recent. When it reports a newer revision, the store is asked.
