Start of an instance: answers of the store count once its era is old enough

Callers with a revoked key were served up to 0.8 s after its bound, at instances that started after the store had come back from a copy without the revocation.

Cause: an instance knows when the store's era began only if it saw it begin. One that started waited 0.6 s at most for the first poll of another instance and then took the next answer of the store as proof.

Now the first answer of an era is an upper bound for its begin, and answers count 2.2 s after it, the time within which operators write again what was lost. Polls carry for how long the sender knows the era (new field era_ms of Roll), and the longest time counts, so that an instance that starts beside others needs no wait of its own. An older build does not send the field: its answers shorten nothing. restored_ms is still sent for older builds, and no longer read: it raised the begin of the era to the latest sighting, which the instance's own sighting makes unnecessary. Era 0 has lost nothing and needs no wait.

Tests: two rows of TestStartOfAnInstance asked for keys to be accepted 0.6 s after a start alone, and after a poll that tells nothing: the fault itself. They ask now for refusals until 2.2 s and acceptance by 2.3 s. The stand-in for the store of the watcher's tests tells an era only once it has answered, as the client does.

--- a/internal/edge/freshness/tracker.go
+++ b/internal/edge/freshness/tracker.go
@@ -15,8 +15,9 @@
 // Tracker holds the time of the last confirmation, as read from a clock that is
 // passed in. It is safe for concurrent use.
 type Tracker struct {
-	clock func() time.Duration // continues while the instance is suspended
-	at    atomic.Int64         // time of the last confirmation, in nanoseconds of clock; zero for none
+	clock    func() time.Duration // continues while the instance is suspended
+	at       atomic.Int64         // time of the last confirmation, in nanoseconds of clock; zero for none
+	expected atomic.Int64         // time before which none is expected, in nanoseconds of clock
 }
 
 // New returns a Tracker without a confirmation. The clock must continue while the
@@ -41,6 +42,15 @@
 // Reset drops the last confirmation: the newest configuration is not the one in force.
 func (t *Tracker) Reset() { t.at.Store(0) }
 
+// Expect records that no confirmation is expected before the given time of the clock.
+func (t *Tracker) Expect(at time.Duration) { t.expected.Store(int64(at)) }
+
+// UntilExpected returns the time until a confirmation is expected; zero if one may come at
+// any time.
+func (t *Tracker) UntilExpected() time.Duration {
+	return max(0, time.Duration(t.expected.Load())-t.clock())
+}
+
 // ConfirmedAt returns the time of the last confirmation, and false if there was none.
 func (t *Tracker) ConfirmedAt() (time.Duration, bool) {
 	at := t.at.Load()
--- a/internal/edge/peerstatus/latest.go
+++ b/internal/edge/peerstatus/latest.go
@@ -3,7 +3,7 @@
 // store was the newest at which time. An instance that knows all changes up to that
 // position was up to date at that time. Reports also tell an instance what a store
 // that came back from a copy has lost: the newest version of the catalog that any
-// instance has in force, and when the era began. The package does no I/O.
+// instance has in force, and since when the era is known. The package does no I/O.
 package peerstatus
 
 // This file defines Latest and Report.
@@ -29,11 +29,11 @@
 	Complete bool
 }
 
-// Known is what some instance of the fleet knows. Each field only rises.
+// Known is what some instance of the fleet knows. Version and Era only rise.
 type Known struct {
 	Version    uint64        // newest version of the catalog that any instance has in force
 	Era        uint64        // newest era of the store
-	EraBeganAt time.Duration // on this instance's boot clock; zero if no instance saw the era begin
+	EraBeganBy time.Duration // when the era had begun already, on this instance's boot clock; zero if not known
 }
 
 // Latest holds the latest report of the leader and what all instances together know.
@@ -90,9 +90,9 @@
 	l.fleet.Version = max(l.fleet.Version, k.Version)
 	switch {
 	case k.Era > l.fleet.Era:
-		l.fleet.Era, l.fleet.EraBeganAt = k.Era, k.EraBeganAt
-	case k.Era == l.fleet.Era:
-		l.fleet.EraBeganAt = max(l.fleet.EraBeganAt, k.EraBeganAt)
+		l.fleet.Era, l.fleet.EraBeganBy = k.Era, k.EraBeganBy
+	case k.Era == l.fleet.Era && k.EraBeganBy > 0 && (l.fleet.EraBeganBy == 0 || k.EraBeganBy < l.fleet.EraBeganBy):
+		l.fleet.EraBeganBy = k.EraBeganBy
 	}
 	select {
 	case <-l.heard:
--- a/internal/edge/restore/guard.go
+++ b/internal/edge/restore/guard.go
@@ -44,7 +44,7 @@
 }
 
 // Guard keeps when the store last came back from a copy, by the boot clock of this
-// instance. It is not safe for concurrent use.
+// instance: when its era began at the latest. It is not safe for concurrent use.
 type Guard struct {
 	restoredAt time.Duration
 	restored   bool
@@ -53,15 +53,25 @@
 // New returns a Guard of a store that has not come back from a copy.
 func New() *Guard { return new(Guard) }
 
-// Restored records that the store had come back from a copy at the given time. An
-// earlier time than the recorded one changes nothing.
+// Restored records that the store had come back from a copy at the given time at the
+// latest, as this instance saw. An earlier time than the recorded one changes nothing.
 func (g *Guard) Restored(at time.Duration) {
 	if !g.restored || at > g.restoredAt {
 		g.restoredAt, g.restored = at, true
 	}
 }
 
-// RestoredAt returns when the store came back, and false if it did not.
+// BeganBy records that the era of the store had already begun at the given time, as
+// another instance saw. It reports whether this is earlier than was known.
+func (g *Guard) BeganBy(at time.Duration) bool {
+	if !g.restored || at >= g.restoredAt {
+		return false
+	}
+	g.restoredAt = at
+	return true
+}
+
+// RestoredAt returns when the store came back at the latest, and false if it did not.
 func (g *Guard) RestoredAt() (time.Duration, bool) { return g.restoredAt, g.restored }
 
 // ProvesFrom returns the time from which on answers of the store count, and zero if
--- a/internal/edge/watcher/era.go
+++ b/internal/edge/watcher/era.go
@@ -31,12 +31,18 @@
 // setRestored records that the store came back from a copy.
 func (w *Watcher) setRestored(at position.Position) {
 	w.restoredAt = w.freshness.Now()
-	w.guard.Restored(w.restoredAt)
+	w.setBegan(w.restoredAt)
 	w.restores.Inc(1)
 	age, _ := w.freshness.Age()
 	w.log.Info("store restored from a copy", "position", at.String(), "before", w.position.String(), "version", w.version, "proof", age.String())
 }
 
+// setBegan records that the era of the store began at the given time at the latest.
+func (w *Watcher) setBegan(at time.Duration) {
+	w.guard.Restored(at)
+	w.freshness.Expect(w.guard.ProvesFrom())
+}
+
 // awaitPeers waits until another instance has told what it knows, at most for
 // peerTimeout, and returns what all of them know.
 func (w *Watcher) awaitPeers(ctx context.Context) peerstatus.Known {
@@ -54,8 +60,9 @@
 // clock, if an answer of the store or a report proves it. newest is the newest version
 // of the catalog that any instance was known to have in force when the store was asked.
 func (w *Watcher) confirm(at time.Duration, newest uint64) {
-	if fleet := w.peer.Fleet(); fleet.Era == w.position.Era && fleet.EraBeganAt > 0 {
-		w.guard.Restored(fleet.EraBeganAt)
+	fleet := w.peer.Fleet()
+	if fleet.Era == w.position.Era && fleet.EraBeganBy > 0 && w.guard.BeganBy(fleet.EraBeganBy) {
+		w.freshness.Expect(w.guard.ProvesFrom())
 	}
 	verdict := w.guard.Judge(at, w.version, newest)
 	switch verdict {
@@ -76,13 +83,3 @@
 		w.verdict = verdict
 	}
 }
-
-// untilProof shortens the wait of a watch so that its answer is the first one that
-// counts after the store came back from a copy.
-func (w *Watcher) untilProof(wait time.Duration) time.Duration {
-	left := w.guard.ProvesFrom() - w.freshness.Now()
-	if left <= 0 {
-		return wait
-	}
-	return min(wait, max(left, probeWait))
-}
--- a/internal/edge/watcher/era_test.go
+++ b/internal/edge/watcher/era_test.go
@@ -111,42 +111,107 @@
 	})
 }
 
-// TestStartOfAnInstance guards against refusing requests with a key for no reason after a
-// start, and against trusting a store that may have lost a version: only if the store has
-// come back from a copy, an instance that starts first hears from another one.
+// start starts a watcher of a store, and calls f with what it confirms and hears.
+func start(t *testing.T, s *store, f func(g *WithT, tracker *freshness.Tracker, peer *peerstatus.Latest)) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		tracker := freshness.New(func() time.Duration { return time.Since(began) + time.Hour })
+		peer := peerstatus.New()
+		w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		f(NewWithT(t), tracker, peer)
+		cancel()
+		<-done
+	})
+}
+
+// TestStartOfAnInstance guards against trusting a store that may have lost the newest version
+// before it was written again, and against refusing requests with a key for longer: only if the
+// store has come back from a copy, an instance that starts waits until its era is old enough, by
+// what it has seen itself or by what another instance tells.
 func TestStartOfAnInstance(t *testing.T) {
-	for _, c := range []struct {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
 		era         uint64
 		heardAt     time.Duration // zero for never
+		heard       peerstatus.Known
+		age         time.Duration // of the era, as it is heard; zero for not known
 		unconfirmed time.Duration // since the start
 		confirmed   time.Duration
 	}{
-		{0, 0, 0, 20 * time.Millisecond},
-		{3, 0, 500 * time.Millisecond, 700 * time.Millisecond},
-		{3, 100 * time.Millisecond, 90 * time.Millisecond, 150 * time.Millisecond},
+		"never came back":                 {0, 0, peerstatus.Known{}, 0, 0, 20 * ms},
+		"alone":                           {3, 0, peerstatus.Known{}, 0, restore.RewriteTimeout, 2300 * ms},
+		"the other knows nothing":         {3, 100 * ms, peerstatus.Known{}, 0, restore.RewriteTimeout, 2300 * ms},
+		"the other, of an old build":      {3, 100 * ms, peerstatus.Known{Era: 3, Version: 1}, 0, restore.RewriteTimeout, 2300 * ms},
+		"the other knows that it is old":  {3, 100 * ms, peerstatus.Known{Era: 3}, restore.RewriteTimeout + 100*ms, 90 * ms, 150 * ms},
+		"the other knows it for a second": {3, 100 * ms, peerstatus.Known{Era: 3}, time.Second, 1300 * ms, 1400 * ms},
+		"the other is heard late":         {3, 1000 * ms, peerstatus.Known{Era: 3}, time.Minute, 1000 * ms, 1900 * ms},
+		"the other knows an earlier era":  {3, 100 * ms, peerstatus.Known{Era: 2}, time.Minute, restore.RewriteTimeout, 2300 * ms},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			start := time.Now()
-			s := &store{era: c.era, version: 1, ready: map[string]bool{}}
-			tracker := freshness.New(func() time.Duration { return time.Since(start) + time.Hour })
-			peer := peerstatus.New()
-			w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
-			if c.heardAt > 0 {
-				time.AfterFunc(c.heardAt, func() { peer.Observe(peerstatus.Known{}) })
+		t.Run(name, func(t *testing.T) {
+			start(t, &store{era: c.era, version: 1, ready: map[string]bool{}}, func(g *WithT, tracker *freshness.Tracker, peer *peerstatus.Latest) {
+				began := tracker.Now()
+				if c.heardAt > 0 {
+					time.AfterFunc(c.heardAt, func() {
+						if c.age > 0 {
+							c.heard.EraBeganBy = tracker.Now() - c.age
+						}
+						peer.Observe(c.heard)
+					})
+				}
+				for tracker.Now() < began+c.unconfirmed {
+					g.Expect(tracker.Within(time.Hour)).To(BeFalse(), "after %s", tracker.Now()-began)
+					time.Sleep(10 * ms)
+				}
+				time.Sleep(began + c.confirmed - tracker.Now())
+				g.Expect(tracker.Within(time.Hour)).To(BeTrue())
+			})
+		})
+	}
+}
+
+// TestStartBesideADisturbedStore guards against a key that is accepted too soon by an instance
+// that starts while the store is away or slow, or comes back a second time, and against callers
+// that are told to come back before keys are accepted, or far later.
+func TestStartBesideADisturbedStore(t *testing.T) {
+	const ms, second = time.Millisecond, time.Second
+	for name, c := range map[string]struct {
+		listTime time.Duration
+		disturb  func(*store)
+		early    time.Duration // after the start; no key may be accepted until then
+		late     time.Duration // and keys must be accepted from then on
+	}{
+		"away at the start":    {0, func(s *store) { s.set(down); time.Sleep(3 * second); s.set(healthy) }, 5200 * ms, 5800 * ms},
+		"silent at the start":  {0, func(s *store) { s.set(unresponsive); time.Sleep(3 * second); s.set(healthy) }, 5200 * ms, 6800 * ms},
+		"away during the wait": {0, func(s *store) { time.Sleep(second); s.set(down); time.Sleep(second); s.set(healthy) }, 2200 * ms, 2800 * ms},
+		"slow":                 {2 * second, func(*store) {}, 4200 * ms, 4300 * ms},
+		"second return":        {0, func(s *store) { time.Sleep(1500 * ms); s.restore(0) }, 3700 * ms, 4300 * ms},
+		"return during a list": {second, func(s *store) { time.Sleep(second / 2); s.restore(0) }, 3200 * ms, 3300 * ms},
+		"returns in succession": {0, func(s *store) {
+			for range 4 {
+				time.Sleep(second)
+				s.restore(0)
 			}
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				w.Run(ctx)
-			}()
-			time.Sleep(c.unconfirmed)
-			g.Expect(tracker.Within(time.Hour)).To(BeFalse(), "%+v", c)
-			time.Sleep(c.confirmed - c.unconfirmed)
-			g.Expect(tracker.Within(time.Hour)).To(BeTrue(), "%+v", c)
-			cancel()
-			<-done
+		}, 6200 * ms, 6800 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{era: 1, version: 1, ready: map[string]bool{}, listTime: c.listTime}
+			start(t, s, func(g *WithT, tracker *freshness.Tracker, _ *peerstatus.Latest) {
+				began := tracker.Now()
+				go c.disturb(s)
+				for !tracker.Within(time.Hour) {
+					time.Sleep(5 * time.Millisecond)
+					if left := tracker.UntilExpected(); left > 0 && !tracker.Within(time.Hour) {
+						g.Expect(left).To(BeNumerically("<=", restore.RewriteTimeout))
+					}
+				}
+				g.Expect(tracker.Now() - began).To(And(BeNumerically(">=", c.early), BeNumerically("<=", c.late)))
+			})
 		})
 	}
 }
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -57,8 +57,8 @@
 	// reachable again for this instance only, it may take this long to notice.
 	reportedRetryDelay = 1500 * time.Millisecond
 	// peerTimeout is how long a starting instance waits at most to hear from another
-	// one before it trusts the store: the store may have lost a version of the catalog
-	// that others still have in force. It covers two polls of the seeds.
+	// one, which may know for how long the store has been in its era, or a version of the
+	// catalog that the store has lost. It covers two polls of the seeds.
 	peerTimeout = 600 * time.Millisecond
 )
 
@@ -202,6 +202,7 @@
 	defer cancel()
 	fleet := w.peer.Fleet()
 	w.reportedEra = fleet.Era
+	seen := w.source.NewestEra()
 	started := w.freshness.Now()
 	changes, at, err := w.source.List(ctx)
 	if err != nil {
@@ -223,6 +224,13 @@
 	} else {
 		w.registry.Sync(endpoints, time.Now())
 	}
+	switch {
+	case !first || at.Era == 0:
+	case seen == at.Era:
+		w.setBegan(started)
+	default:
+		w.setBegan(w.freshness.Now()) // the era may have begun during the call
+	}
 	w.log.Info("store listed", "position", at.String(), "endpoints", len(endpoints), "version", w.version)
 	w.position, w.listed = at, true
 	w.history.Reset(at)
@@ -239,13 +247,15 @@
 // interval after the previous watch began.
 func (w *Watcher) watch(ctx context.Context, wait, interval time.Duration) error {
 	newest := w.peer.Fleet().Version
-	switch _, confirmed := w.freshness.ConfirmedAt(); {
+	_, known := w.freshness.ConfirmedAt()
+	switch left := w.freshness.UntilExpected(); {
 	case newest > w.version:
 		wait, interval = probeWait, reportedWatchInterval
-	case w.unreachable || !confirmed:
+	case w.unreachable || !known && left == 0:
 		wait = probeWait
+	case left > 0:
+		wait = min(wait, max(left, probeWait)) // the first answer that counts comes as soon as it can
 	}
-	wait = w.untilProof(wait)
 	pause.For(ctx, w.lastWatch+interval-w.freshness.Now())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -48,6 +48,7 @@
 	mu         sync.Mutex
 	state      state
 	era        uint64
+	answered   uint64 // newest era of any answer
 	version    uint64
 	ready      map[string]bool // ids of the registered endpoints
 	events     []change.Change
@@ -116,10 +117,7 @@
 func (s *store) NewestEra() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state == down || s.state == unresponsive {
-		return 0
-	}
-	return s.era
+	return s.answered
 }
 
 // giveUp waits until a call without an answer is given up.
@@ -166,6 +164,7 @@
 	if s.state == compacted {
 		s.state = healthy
 	}
+	s.answered = s.era
 	list := []change.Change{published(s.version)}
 	for id := range s.ready {
 		list = append(list, registered(id))
@@ -180,6 +179,9 @@
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
 		all, at, st := s.events, s.at(), s.state
+		if st == healthy || st == compacted {
+			s.answered = s.era
+		}
 		s.mu.Unlock()
 		switch {
 		case st == compacted:
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -95,6 +95,8 @@
 	notices    *notice.Recorder
 	revision   atomic.Uint64 // of the store, at least 1
 	version    atomic.Uint64 // of the catalog in force
+	era        atomic.Uint64 // of the store
+	eraSince   atomic.Int64  // when the instance saw it, by the boot clock; zero if it does not tell
 	ineligible atomic.Bool
 	silent     atomic.Bool // does not answer polls, for as long as it is set
 	interrupt  func()      // ends the work on calls of peers, whose connections stay open
@@ -110,7 +112,10 @@
 	for in.silent.Load() {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return watcher.Status{Position: at(max(1, in.revision.Load())), Version: in.version.Load()}
+	return watcher.Status{
+		Position: position.Position{Era: in.era.Load(), Revision: max(1, in.revision.Load())}, Version: in.version.Load(),
+		EraBeganBy: time.Duration(in.eraSince.Load()),
+	}
 }
 
 // cluster starts instances that know the same catalog and endpoints.
@@ -411,6 +416,34 @@
 	}
 }
 
+// TestAgeOfTheEraReachesAllInstances guards against instances that refuse keys after each start
+// because no instance tells for how long the store has been in its era, and against taking the era
+// for older than it is: of two instances that know it the one for longer counts, also through a
+// third one, and one of an old build, which does not tell, says nothing.
+func TestAgeOfTheEraReachesAllInstances(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	leader := c.start(t, &fakeExecutor{name: "leader"}, 800)
+	knowing := c.start(t, &fakeExecutor{name: "knowing"}, 400)
+	restarted := c.start(t, &fakeExecutor{name: "restarted"}, 400)
+	all := []*instance{leader, knowing, restarted}
+	for _, in := range all {
+		in.era.Store(2)
+	}
+	for _, in := range all {
+		g.Eventually(func() uint64 { return in.peerStatus.Fleet().Era }, waitLimit).Should(BeEquivalentTo(2), in.name)
+		g.Expect(in.peerStatus.Fleet().EraBeganBy).To(BeZero(), in.name)
+	}
+	began := boottime.Now()
+	restarted.eraSince.Store(int64(began))
+	knowing.eraSince.Store(int64(began - time.Minute))
+	for _, in := range []*instance{leader, restarted} {
+		g.Eventually(func() time.Duration { return in.peerStatus.Fleet().EraBeganBy }, waitLimit).
+			Should(BeNumerically("~", began-time.Minute, time.Second), in.name)
+		g.Expect(in.peerStatus.Fleet().EraBeganBy).To(BeNumerically(">=", began-time.Minute), in.name)
+	}
+}
+
 // TestLeavingEndpointIsToldToAllInstances guards against an endpoint that says in a
 // response that it leaves, but gets work from the instances that did not get it.
 func TestLeavingEndpointIsToldToAllInstances(t *testing.T) {
--- a/internal/stage/forwarder/fuzz_test.go
+++ b/internal/stage/forwarder/fuzz_test.go
@@ -21,7 +21,7 @@
 // instance or keeps it from answering later polls.
 func FuzzPeerMessages(f *testing.F) {
 	for _, m := range []proto.Message{
-		&stagepb.Roll{Candidates: []*stagepb.Candidate{{Address: "127.0.0.1:1", Power: 400, Fit: true}}, Revision: 1 << 63, Era: 1 << 63, Version: 9, RestoredMs: 1 << 31, Leaving: []string{"a@1", ""}, Held: []*stagepb.Held{{Parts: []string{"p"}, Term: 1, Trials: []string{"t"}}, {Term: 1 << 31}}},
+		&stagepb.Roll{Candidates: []*stagepb.Candidate{{Address: "127.0.0.1:1", Power: 400, Fit: true}}, Revision: 1 << 63, Era: 1 << 63, Version: 9, RestoredMs: 1 << 31, EraMs: 1 << 31, Leaving: []string{"a@1", ""}, Held: []*stagepb.Held{{Parts: []string{"p"}, Term: 1, Trials: []string{"t"}}, {Term: 1 << 31}}},
 		&stagepb.Order{Id: "o", Request: "r", Service: "llm", Stages: []*stagepb.Stage{{Service: "s", Pieces: 2}, {Service: "s", After: []uint32{0}, Pieces: 1 << 31}}, GoalMs: -1 << 62, DeadlineMs: 1 << 62},
 		&stagepb.News{Started: []string{"o"}, Ended: []string{"o", "x"}, Losses: []*stagepb.Loss{{Engine: "e", Parts: []string{"p", "q"}, AgeMs: 1 << 31}, {}}},
 		&stagepb.Roll{Leader: "127.0.0.1:1", Fleet: 1 << 31, Starting: true, Limits: []*stagepb.Limit{{Endpoint: "e1@0", Limited: true, Rate: math.Inf(-1), AgeMs: 1 << 31}, {}}, Suspects: []*stagepb.Suspect{{Fingerprint: 7, Endpoints: []string{"e1@0", ""}}, {}}, Clearances: []*stagepb.Clearance{{Endpoint: "e1@0"}, {Fingerprint: 7, AgeMs: 1 << 31}}},
--- a/internal/stage/forwarder/leader.go
+++ b/internal/stage/forwarder/leader.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/base/contain"
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
+	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/stage/cpuspeed"
 	"github.com/jacinthstile/jacinthstile/internal/stage/election"
@@ -110,8 +112,9 @@
 // that clock, and false if the peer has none.
 func (f *Forwarder) recordConfirmation(roll *stagepb.Roll, pollTime time.Duration) (at time.Duration, ok bool) {
 	known := peerstatus.Known{Version: roll.Version, Era: roll.Era}
-	if roll.RestoredMs > 0 {
-		known.EraBeganAt = pollTime - time.Duration(roll.RestoredMs)*time.Millisecond
+	if roll.EraMs > 0 {
+		// By the time of arrival, so that the era is never taken for older than it is.
+		known.EraBeganBy = f.freshness.Now() - time.Duration(roll.EraMs)*time.Millisecond
 	}
 	f.learnClearances(roll.Clearances)
 	f.mergeHeld(roll.Held)
@@ -283,6 +286,9 @@
 	if status.RestoredAt > 0 {
 		roll.RestoredMs = uint32(max(1, (f.freshness.Now() - status.RestoredAt).Milliseconds()))
 	}
+	if began, ok := f.eraBeganBy(status); ok {
+		roll.EraMs = uint32(min(math.MaxUint32, (f.freshness.Now() - began).Milliseconds()))
+	}
 	for _, c := range f.election.Candidates(now) {
 		roll.Candidates = append(roll.Candidates, &stagepb.Candidate{
 			Address: c.Address, Power: uint32(c.MilliCPU), AgeMs: uint32(now.Sub(c.LastSeen).Milliseconds()), Fit: c.Eligible, Since: c.StartTime,
@@ -292,6 +298,16 @@
 	return roll
 }
 
+// eraBeganBy returns when the era of the store had begun already, as this instance saw or
+// others told, by the boot clock. It returns false if that is not known.
+func (f *Forwarder) eraBeganBy(status watcher.Status) (at time.Duration, ok bool) {
+	at = status.EraBeganBy
+	if told := f.peerStatus.Fleet(); told.Era == status.Position.Era && told.EraBeganBy > 0 && (at == 0 || told.EraBeganBy < at) {
+		at = told.EraBeganBy
+	}
+	return at, at > 0
+}
+
 // decodeRoll returns the candidates of a roll that was received at the time now. The
 // time of the last contact is sent as an age, so that clocks need not agree.
 func decodeRoll(roll *stagepb.Roll, now time.Time) []election.Candidate {
