Quarantine: a coordinator judges equal requests 0.6 s after it took over

A coordinator judged nothing in its first 1.5 s. Each crash left the stage without endpoints, so the coordinator counted as degraded and another one took over: after the third crash (58.62 s) the leads lasted 1.50, 0.6, 0.6 and 1.2 s. The next one, from 2.617 s of the next minute on, held the request back at 4.121, 1.504 s after it took over. It had sent four of the late ones itself, at 2.8, 3.4 and twice at 4.05 s; the fifth is the trial. The verdict reached the others within 1 ms.

The 1.5 s are for parts of prompts: answers that begin show which ones are sound. Equal requests are cleared by complete answers, which all instances tell for 3 s, so two polls are enough. They are judged 0.6 s after a coordinator took over; parts as before.

Failing first, TestCoordinatorsThatLeadShortlyJudge:

Expected <[]quarantine.Group | len:0, cap:0>: nil to have length 1

--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -22,6 +22,10 @@
 	// learningTime is how long a coordinator learns which parts are sound before fewer
 	// crashes than certainCrashes are enough to hold one back.
 	learningTime = 10 * time.Second
+	// clearanceTime is how long a new coordinator waits for the clearances that others recorded
+	// while they followed the former one. It covers two polls. Crashes under whole requests can
+	// be judged from then on.
+	clearanceTime = 600 * time.Millisecond
 	// maxWholeEvidence is how many crashes under one request that is held back as a whole count
 	// against the parts of its prompt. A part may be the cause, but repeats of one request do not
 	// show it.
@@ -31,10 +35,11 @@
 	SettleTime = 150 * time.Millisecond
 )
 
-// Judge holds back the parts against which the evidence is sufficient, and returns the
-// groups that are new. Its caller has been told of begun answers since the time knownSince.
+// Judge holds back the features against which the evidence is sufficient, and returns the
+// groups that are new. Its caller has been told of begun answers since the time knownSince;
+// parts of prompts are judged only once that shows which ones are sound.
 func (q *Quarantine) Judge(knownSince, now time.Time) []Group {
-	if now.Sub(knownSince) < begunWindow {
+	if now.Sub(knownSince) < clearanceTime {
 		return nil
 	}
 	q.mu.Lock()
@@ -42,6 +47,9 @@
 	q.prune(now)
 	q.dropUnused(now)
 	evidence := q.unexplained(now)
+	if now.Sub(knownSince) < begunWindow {
+		evidence = withoutParts(evidence)
+	}
 	learning := now.Sub(knownSince) < learningTime
 	var verdicts []Group
 	for {
@@ -56,6 +64,17 @@
 	}
 }
 
+// withoutParts leaves the evidence against whole requests.
+func withoutParts(losses []Loss) []Loss {
+	list := make([]Loss, 0, len(losses))
+	for _, l := range losses {
+		if l.Parts = slices.DeleteFunc(l.Parts, func(p string) bool { return !isWhole(p) }); len(l.Parts) > 0 {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 // withoutCrashes removes the evidence of crashes that verdicts explain: that against whole requests,
 // and with parts set that against parts of prompts. A verdict on a whole request does not explain
 // its first crashes as to parts: it may have a part in common with others that crash engines.
--- a/internal/admission/quarantine/quarantine_test.go
+++ b/internal/admission/quarantine/quarantine_test.go
@@ -285,6 +285,24 @@
 	g.Expect(held(coordinator)).To(Equal("D"))
 }
 
+// TestCoordinatorsThatLeadShortlyJudge guards against crashes without a verdict while instances
+// coordinate for a second each: a stage without an endpoint, as each crash leaves it, has another
+// instance take over. Equal requests can be judged before answers have shown which parts are sound,
+// but not before an answer to one of them was told.
+func TestCoordinatorsThatLeadShortlyJudge(t *testing.T) {
+	g := NewWithT(t)
+	q := quarantine.New()
+	for i := range 5 {
+		now := at(10 + float64(i)/10)
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt("A D o1 =D"), false, true, now))
+		q.RecordLoss(quarantine.NewLoss(fmt.Sprint("e", i), prompt("=S"), false, true, now))
+	}
+	g.Expect(q.Judge(at(11), at(11.5))).To(BeEmpty())
+	q.Clear(quarantine.Clearance{Fingerprint: prompt("=S").Fingerprint, At: at(11.5)}, at(11.5))
+	g.Expect(q.Judge(at(11), at(11.7))).To(HaveLen(1))
+	g.Expect(held(q)).To(Equal(whole('D')))
+}
+
 // TestSoundTrafficOfManyEngines guards against a verdict where crashes have no cause: 60
 // engines, of which some crash at random moments, and prompts of shared parts.
 func TestSoundTrafficOfManyEngines(t *testing.T) {
