Test: a process replaced under an endpoint's id begins a stream of the former version (fails)

Review of the joined streams. Callers would see streams joined from two versions (ORDER): the process of an endpoint is replaced by one of another version under the same id and address, without a crash that anybody saw, and is sent a stream before its registration has come. What began the stream is recorded with the version that the list named, also when the registration, of a process born before the request was sent, comes while it runs.

Evidence, on this code: within an answer, got <nil>, want ErrStreamBroken; by its caller, 'Expected failure, but got no error': the stream goes on at an endpoint of v1 after three events of v2. docs/design/versions.md names the second case under 'What remains', for old lists; a list of one second is no old one.

--- a/internal/edge/proxy/version_test.go
+++ b/internal/edge/proxy/version_test.go
@@ -276,6 +276,37 @@
 	g.Expect(o.Known()).To(BeFalse())
 }
 
+// TestProcessReplacedUnderTheSameIDBeganNothing guards against a stream that goes on at the version which the
+// list named when it began, although another process answered under the endpoint's id: the registration
+// of that one, which was born before the request was sent, came later.
+func TestProcessReplacedUnderTheSameIDBeganNothing(t *testing.T) {
+	for name, resumedByCaller := range map[string]bool{"within an answer": false, "by its caller": true} {
+		t.Run(name, func(t *testing.T) {
+			var h *harness
+			born := time.Now().UnixMilli()
+			begin := func(w net.Conn, r *http.Request) { // the new process, of version v2
+				e := *h.index().ByName("e0@0")
+				e.Version, e.StartTime = "v2", born
+				h.registry.Put(e, time.Now())
+				h.registry.Put(registry.Endpoint{ID: "e1", Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready, Version: "v1"}, time.Now())
+				h.freshness.Confirm(h.freshness.Now())
+				streamEvents(0, 2, resumedByCaller)(w, r)
+			}
+			h = newHarness(t, 1, begin, streamEvents(3, 9, true))
+			h.clock.Add(int64(time.Second)) // the list is older than the process
+			_, err := h.serveRequest(catalog.Stream, 2, true)
+			if !resumedByCaller {
+				h.g.Expect(err).To(Equal(proxy.ErrStreamBroken))
+			} else {
+				req := newRequest(catalog.Stream, 2, true)
+				req.ID, req.Resumes, req.LastEventID = "c2", "c1", "2"
+				h.g.Expect(h.proxy.Serve(t.Context(), req, httptest.NewRecorder())).NotTo(Succeed())
+			}
+			h.g.Expect(h.sent()).To(Equal(1), "requests at endpoints, of versions v2 and v1")
+		})
+	}
+}
+
 // TestOtherRequestsIgnoreWhatTheyWouldTakeUp guards against a plain request that is rejected as it
 // carries headers of streams.
 func TestOtherRequestsIgnoreWhatTheyWouldTakeUp(t *testing.T) {
