Test: a stream whose origin is known to be uncertain is inferred (fails)

Review of the joined streams. Callers would see streams joined from two versions (ORDER): a stream began at a process that answered under the id of one that was said to have crashed. Its version is not known (recordOrigin), but originlog drops an unknown origin and OriginAnswer has no word for it, so that the same instance, or another one, takes the stream for one of which nobody knows anything and infers the only version in sight.

Evidence: 'Expected failure, but got no error': the stream goes on at an endpoint of v1. The harness recorded unknown origins, unlike originlog, which hid this; it drops them now.

--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -240,11 +240,13 @@
 	return h.permit(p)
 }
 
-// RecordBegun implements proxy.Preparer.
+// RecordBegun implements proxy.Preparer. As in package originlog, an unknown origin is not recorded.
 func (h *harness) RecordBegun(stream uint64, o origin.Origin) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.origins[stream] = o
+	if o.Known() {
+		h.origins[stream] = o
+	}
 }
 
 // Origin implements proxy.Preparer.
--- a/internal/edge/proxy/version_test.go
+++ b/internal/edge/proxy/version_test.go
@@ -307,6 +307,23 @@
 	}
 }
 
+// TestUnknownOriginIsNotInferred guards against a stream that the only version in sight is said to have begun,
+// although the instance knows that the process which began it may have had another one: that process
+// answered under the id of one that crashed, and its registration has not come.
+func TestUnknownOriginIsNotInferred(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, 1, streamEvents(0, 2, false), streamEvents(3, 9, true))
+	h.versions.Restart(time.Now().Add(-time.Hour))
+	h.loseVersion("v1")
+	_, err := h.serveRequest(catalog.Stream, 1, true)
+	g.Expect(err).To(Equal(proxy.ErrStreamBroken))
+	h.registry.Put(registry.Endpoint{ID: "e1", Service: "s", Address: h.listen(t), Centre: "a", Slots: 8, State: registry.Ready, Version: "v1"}, time.Now())
+	req := newRequest(catalog.Stream, 2, true)
+	req.ID, req.Resumes, req.LastEventID, req.Route.Targets = "c2", "c1", "2", []catalog.Target{{Service: "s"}}
+	g.Expect(h.proxy.Serve(t.Context(), req, httptest.NewRecorder())).NotTo(Succeed())
+	g.Expect(h.sent()).To(Equal(1), "requests at endpoints")
+}
+
 // TestOtherRequestsIgnoreWhatTheyWouldTakeUp guards against a plain request that is rejected as it
 // carries headers of streams.
 func TestOtherRequestsIgnoreWhatTheyWouldTakeUp(t *testing.T) {
