Origins: a version in doubt is recorded as such, and no version is inferred for it

Callers would see streams joined from two versions: a stream began at a process that answered under the id of one that was said to have crashed, so that its version was not known. That was not recorded, and was read as a stream of which nobody knows anything, for which the only version in sight is inferred.

Cause: originlog dropped origins without a version, and so did the message between instances.

Evidence: TestUnknownOriginIsNotInferred failed: the stream went on at an endpoint of v1.

Change: an origin with a service and no version says that the version is in doubt. An instance of an older build reads such an answer as not known, as before. TestStreamsAreRemembered asked for such a record to be dropped, which is the fault itself.

--- a/internal/edge/originlog/log.go
+++ b/internal/edge/originlog/log.go
@@ -49,9 +49,10 @@
 // New returns an empty log.
 func New() *Log { return &Log{} }
 
-// Record records the origin of a stream. An unknown origin is not recorded.
+// Record records the origin of a stream. An origin without a version says that the version is in
+// doubt; one without a service is not recorded.
 func (l *Log) Record(key uint64, o origin.Origin, now time.Time) {
-	if !o.Known() {
+	if o.Service == "" {
 		return
 	}
 	l.mu.Lock()
@@ -68,7 +69,7 @@
 	l.current.streams[key] = shared
 }
 
-// Lookup returns the origin of a stream, and false if it is not known.
+// Lookup returns the recorded origin of a stream, which may be in doubt, and false if there is none.
 func (l *Log) Lookup(key uint64, now time.Time) (origin.Origin, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -240,11 +240,11 @@
 	return h.permit(p)
 }
 
-// RecordBegun implements proxy.Preparer. As in package originlog, an unknown origin is not recorded.
+// RecordBegun implements proxy.Preparer. As in package originlog, an origin without a service is not recorded.
 func (h *harness) RecordBegun(stream uint64, o origin.Origin) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if o.Known() {
+	if o.Service != "" {
 		h.origins[stream] = o
 	}
 }
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -60,10 +60,11 @@
 	// instances, and returns the name of the endpoint. The error is a *fault.Fault of class
 	// "not run", or the context's error.
 	Permit(ctx context.Context, r PermitParams) (string, error)
-	// RecordBegun records which software began a stream, by the key of package origin.
+	// RecordBegun records which software began a stream, by the key of package origin. An
+	// origin without a version says that it is in doubt.
 	RecordBegun(stream uint64, o origin.Origin)
-	// Origin returns which software began a stream, and false if no instance that can be
-	// asked knows it.
+	// Origin returns which software began a stream, as it was recorded, and false if no
+	// instance that can be asked knows the stream.
 	Origin(ctx context.Context, stream uint64) (origin.Origin, bool)
 	// RecordLoss records that an endpoint lost a request.
 	RecordLoss(requestID string, l quarantine.Loss)
--- a/internal/edge/proxy/version.go
+++ b/internal/edge/proxy/version.go
@@ -32,9 +32,13 @@
 	o, ground := x.request.Origin, "told"
 	if !o.Known() {
 		var recorded bool
-		if o, recorded = x.preparer.Origin(ctx, origin.Key(x.request.Account, x.request.Resumes)); recorded {
+		o, recorded = x.preparer.Origin(ctx, origin.Key(x.request.Account, x.request.Resumes))
+		switch {
+		case recorded && o.Known():
 			ground = "recorded"
-		} else {
+		case recorded:
+			return fault.New(code.StreamUnknown, "the version that began the stream of request %q is in doubt", x.request.Resumes)
+		default:
 			var err error
 			if o, err = x.inferOrigin(ctx, arrived); err != nil {
 				return err
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -69,7 +69,7 @@
 }
 
 func (f *Forwarder) reportBegun(address string, o origin.Origin, streams []uint64) {
-	if !o.Known() {
+	if o.Service == "" {
 		return
 	}
 	c := f.remoteCoordinator(address)
@@ -104,8 +104,8 @@
 	}
 }
 
-// Origin returns the software that began a stream. If this instance does not know it, those are
-// asked that may.
+// Origin returns the software that began a stream; its version is empty if that is in doubt. If this
+// instance has no record, those are asked that may.
 func (f *Forwarder) Origin(ctx context.Context, stream uint64) (origin.Origin, bool) {
 	if o, ok := f.origins.lookup(stream, time.Now()); ok {
 		return o, true
@@ -122,7 +122,8 @@
 	return o, ok
 }
 
-// askOrigin asks the instances that may know a stream. The first answer that does counts.
+// askOrigin asks the instances that may know a stream. The first answer with a version counts, or
+// else one which says that the version is in doubt.
 func (f *Forwarder) askOrigin(ctx context.Context, stream uint64) (origin.Origin, bool) {
 	addresses := f.election.Reachable(time.Now())
 	answers := make(chan origin.Origin, len(addresses))
@@ -135,13 +136,18 @@
 			answers <- origin.Origin{Service: out.Service, Version: out.Version}
 		}()
 	}
+	var doubtful origin.Origin
 	for range addresses {
-		if o := <-answers; o.Known() {
+		o := <-answers
+		if o.Known() {
 			f.origins.kept.Record(stream, o, time.Now())
 			return o, true
 		}
+		if o.Service != "" {
+			doubtful = o
+		}
 	}
-	return origin.Origin{}, false
+	return doubtful, doubtful.Service != ""
 }
 
 // handleOrigins registers the handler of queries for origins.
