Proxy: a stream's version is in doubt if another process took the place of the one that began it

Callers would see streams joined from two versions: the process of an endpoint was replaced by one of another version under the same id and address, without a crash that anybody saw, and was sent a stream before its registration had come. The stream was recorded with the version that the list named, and went on at it, within the answer or over a caller's tries.

Evidence: both cases of TestProcessReplacedUnderTheSameIDBeganNothing failed.

Change: when a stream ends or breaks off, the instance that serves it looks whether another process of another version is registered under the endpoint's id by now. If so, the version is in doubt: the stream goes on nowhere, and the keepers are told.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -193,8 +193,9 @@
 	crashed       bool               // whether an endpoint crashed while it ran the request
 	known         quarantine.Subject // zero before the first call of subject
 	stream        streamState
-	origin        origin.Origin // of the events that the caller holds; zero if it holds none
-	bound         bool          // the caller holds events, so that only an endpoint of the origin may go on
+	origin        origin.Origin      // of the events that the caller holds; zero if it holds none
+	began         *registry.Endpoint // wrote the first event that the caller got in this answer; nil if the caller held one already
+	bound         bool               // the caller holds events, so that only an endpoint of the origin may go on
 }
 
 // run serves the request here, or has another instance serve it if this one has no path to its
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -42,6 +42,7 @@
 func (x *exchange) relayStream(ctx context.Context, lease *dispatcher.Lease, e *registry.Endpoint, resp *connpool.Response, saidCrashed bool) (bool, error) {
 	start := time.Now()
 	first, err := x.relayEvents(resp, start, func() { x.recordOrigin(e, saidCrashed) })
+	x.reviewOrigin()
 	if err == nil {
 		x.recordCompleted()
 		lease.Done(endpointstats.Result{FirstToken: first, Tokens: x.stream.events, Blocks: x.blocks})
--- a/internal/edge/proxy/version.go
+++ b/internal/edge/proxy/version.go
@@ -123,7 +123,7 @@
 // known.
 func (x *exchange) recordOrigin(e *registry.Endpoint, saidCrashed bool) {
 	if !x.bound {
-		x.bound, x.origin = true, origin.Origin{Service: e.Service, Version: e.Version}
+		x.bound, x.began, x.origin = true, e, origin.Origin{Service: e.Service, Version: e.Version}
 		if saidCrashed {
 			x.origin.Version = ""
 		}
@@ -133,6 +133,25 @@
 	}
 }
 
+// reviewOrigin records that the version of the stream is in doubt if another process has taken the
+// place of the one that began it: it may have done so before the stream began, as a registration comes
+// later than its process.
+func (x *exchange) reviewOrigin() {
+	if x.began == nil || !x.origin.Known() || x.index().ByName(x.began.Name()) != nil {
+		return
+	}
+	next := x.index().ByID(x.began.ID)
+	if next == nil || next.Version == x.began.Version && next.Service == x.began.Service {
+		return
+	}
+	x.log.Info("version of a stream in doubt", "request", x.request.ID, "endpoint", x.began.Name(), "version", x.began.Version,
+		"process", next.Name(), "now", next.Version)
+	x.origin.Version = ""
+	if x.request.Route.Resume {
+		x.preparer.RecordBegun(origin.Key(x.request.Account, x.request.ID), x.origin)
+	}
+}
+
 // mayGoOn reports whether the endpoint may write the next event of the stream: any one if the
 // caller holds none.
 func (x *exchange) mayGoOn(e *registry.Endpoint) bool {
--- a/internal/edge/registry/index.go
+++ b/internal/edge/registry/index.go
@@ -32,6 +32,17 @@
 // ByName returns the endpoint with this Endpoint.Name, or nil.
 func (x *Index) ByName(name string) *Endpoint { return x.byName[name] }
 
+// ByID returns the endpoint with this id, or nil. It takes time in proportion to the number of
+// endpoints.
+func (x *Index) ByID(id string) *Endpoint {
+	for _, e := range x.byName {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // Accepting returns the endpoints of a service that accept new work.
 func (x *Index) Accepting(service string) []*Endpoint { return x.byService[service] }
 
