Keepers of origins: one that restarted, or missed a message, is told all streams again

Callers' streams would be given up after a loss of instances: a keeper that was killed and back before the next poll stayed in the list by its address and was never told the streams of before, nor was one to which a message was lost.

Change: keepers are compared by address and start time, and one that did not get a message counts as new at the next poll.

--- a/internal/stage/election/election.go
+++ b/internal/stage/election/election.go
@@ -190,11 +190,11 @@
 	return alone
 }
 
-// Keepers returns the addresses of n other instances that have answered this one in time: for one half
+// Keepers returns n other instances that have answered this one in time: for one half
 // the best candidates, for the other half seeds, chosen by this instance's address, so that they are
 // seldom lost together. Where there are too few seeds, further candidates take their places. Every instance
 // knows all of these addresses.
-func (e *Election) Keepers(n int, now time.Time) []string {
+func (e *Election) Keepers(n int, now time.Time) []Candidate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var candidates, seeds []string
@@ -215,7 +215,11 @@
 			list = append(list, c)
 		}
 	}
-	return list
+	keepers := make([]Candidate, len(list))
+	for i, address := range list {
+		keepers[i] = e.records[address].Candidate
+	}
+	return keepers
 }
 
 // inContact reports whether the instance at address has answered a poll in time. The caller holds e.mu.
--- a/internal/stage/election/election_test.go
+++ b/internal/stage/election/election_test.go
@@ -247,7 +247,10 @@
 			f := newFleet(n)
 			f.run(8)
 			for _, in := range f.instances {
-				keepers := in.Keepers(4, f.now)
+				var keepers []string
+				for _, k := range in.Keepers(4, f.now) {
+					keepers = append(keepers, k.Address)
+				}
 				g.Expect(keepers).To(HaveLen(min(4, n-1)), in.address)
 				g.Expect(keepers).NotTo(ContainElement(in.address))
 				for _, other := range f.instances {
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/peer/encoding"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
+	"github.com/jacinthstile/jacinthstile/internal/stage/election"
 	"github.com/jacinthstile/jacinthstile/internal/stage/stagepb"
 )
 
@@ -42,7 +43,7 @@
 	own     *originlog.Log // of streams that this instance serves
 	kept    *originlog.Log // of streams of other instances
 	mu      sync.Mutex
-	keepers []string // addresses of the instances that keep the own ones too
+	keepers []election.Candidate // instances that keep the own ones too
 }
 
 func newOrigins() *origins { return &origins{own: originlog.New(), kept: originlog.New()} }
@@ -54,7 +55,7 @@
 	return o.kept.Lookup(stream, now)
 }
 
-func (o *origins) currentKeepers() []string {
+func (o *origins) currentKeepers() []election.Candidate {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.keepers
@@ -63,8 +64,8 @@
 // RecordBegun records the origin of a stream whose first event has come, and tells the keepers.
 func (f *Forwarder) RecordBegun(stream uint64, o origin.Origin) {
 	f.origins.own.Record(stream, o, time.Now())
-	for _, address := range f.origins.currentKeepers() {
-		f.reportBegun(address, o, []uint64{stream})
+	for _, k := range f.origins.currentKeepers() {
+		f.reportBegun(k.Address, o, []uint64{stream})
 	}
 }
 
@@ -89,21 +90,35 @@
 // updateKeepers chooses the keepers anew, and tells a new one all streams that this instance
 // serves.
 func (f *Forwarder) updateKeepers(now time.Time) {
-	keepers := f.election.Keepers(numKeepers, now)
-	f.origins.mu.Lock()
-	before := f.origins.keepers
-	f.origins.keepers = keepers
-	f.origins.mu.Unlock()
-	for _, address := range keepers {
-		if slices.Contains(before, address) {
-			continue
-		}
+	for _, address := range f.origins.replaceKeepers(f.election.Keepers(numKeepers, now)) {
 		for o, streams := range f.origins.own.Streams(now) {
 			f.reportBegun(address, o, streams)
 		}
 	}
 }
 
+// replaceKeepers sets the keepers and returns the addresses of those that know nothing yet. One that
+// has been started again has forgotten what it was told.
+func (o *origins) replaceKeepers(next []election.Candidate) (added []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, k := range next {
+		known := slices.ContainsFunc(o.keepers, func(b election.Candidate) bool { return b.Address == k.Address && b.StartTime == k.StartTime })
+		if !known {
+			added = append(added, k.Address)
+		}
+	}
+	o.keepers = next
+	return added
+}
+
+// forgetKeeper has the instance at address told all streams again: it did not get some of them.
+func (o *origins) forgetKeeper(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.keepers = slices.DeleteFunc(slices.Clone(o.keepers), func(k election.Candidate) bool { return k.Address == address })
+}
+
 // Origin returns the software that began a stream; its version is empty if that is in doubt. If this
 // instance has no record, those are asked that may.
 func (f *Forwarder) Origin(ctx context.Context, stream uint64) (origin.Origin, bool) {
--- a/internal/stage/forwarder/remote.go
+++ b/internal/stage/forwarder/remote.go
@@ -202,5 +202,8 @@
 	if _, err := f.transport.Call(ctx, c.address, method.StageNews, progress, new(stagepb.News)); err != nil {
 		f.log.V(1).Info("progress not delivered to the coordinator: it frees the results when they expire",
 			"leader", c.address, "requests", len(progress.Started)+len(progress.Ended), "losses", len(progress.Losses), "reason", err.Error())
+		if len(progress.Begun) > 0 {
+			f.origins.forgetKeeper(c.address)
+		}
 	}
 }
