A planned stop answers all that it has read

What callers saw: a request that waited when its instance was stopped, for its stages, the coordinator, a limit or the answer of an endpoint, got no answer: the connection was closed 7.7 s after SIGTERM (LOST). It had often not run, and 503 with Retry-After would have sent its caller elsewhere.

Cause: nothing told a request that the instance ends. The stop waited for the requests in flight until 0.3 s before the end of the grace period and returned. A coordinator kept the orders of other instances as long.

Now each request says how much time it needs before the end, and ends once less is left (edge/shutdown): while it waits, twice the mean duration of its service's calls and the time to write the answer, so that it is rejected when it is known not to fit and not at the last moment; once it was sent, only the time to write the answer, which is then "unknown"; a stream that has begun has no other answer and runs on. Nothing is sent too late. What waits at a stopping coordinator for another instance goes back 1.5 s before the end, as an error of the call, so that old builds take it to the next one too. A request that another instance serves gets the time that is left as its deadline. One that was relayed before the SIGTERM, and is not answered then, stays unknown: this instance does not know whether it ran.

The time left is read from the boot clock every 20 ms, so a process that was frozen or suspended rejects what it holds when it wakes, and has 0.2 s to write that.

A send that ends while it connects was said to have run; it is "not run" now.

--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -37,6 +37,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/shutdown"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
 	"github.com/jacinthstile/jacinthstile/internal/result/code"
@@ -83,7 +84,7 @@
 }
 
 func (testCodec) RelayHeader(req *request.Request, a protocol.RelayAttempt) http.Header {
-	return http.Header{"Id": {req.ID}, "Resume": {a.LastEventID}, "Resumes": {a.Resumes}, "Runs": {strconv.Itoa(a.Runs)}}
+	return http.Header{"Id": {req.ID}, "Resume": {a.LastEventID}, "Resumes": {a.Resumes}, "Runs": {strconv.Itoa(a.Runs)}, "Left": {strconv.FormatInt(a.TimeLeft.Milliseconds(), 10)}}
 }
 
 func (testCodec) RelayFault(_ int, _ http.Header, body []byte) *fault.Fault {
@@ -176,10 +177,12 @@
 	reached    []string // addresses of the endpoints that got requests
 	index      func() *registry.Index
 	listeners  map[string]net.Listener // of the endpoints, by address
+	shutdown   *shutdown.Shutdown
+	wait       func(ctx context.Context) error // in Prepare and Permit; they return its error
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	h := &harness{t: t, g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener)}
+	h := &harness{t: t, g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener), shutdown: shutdown.New()}
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
@@ -197,7 +200,7 @@
 	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.newPaths(pool), h.shutdown, logr.Discard())
 	return h
 }
 
@@ -210,7 +213,10 @@
 
 // Prepare counts its calls and returns a different input for each round, unless
 // the test has set prepare.
-func (h *harness) Prepare(_ context.Context, p proxy.PrepareParams) (proxy.Prepared, error) {
+func (h *harness) Prepare(ctx context.Context, p proxy.PrepareParams) (proxy.Prepared, error) {
+	if h.wait != nil {
+		return proxy.Prepared{}, h.wait(ctx)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.prepares++
@@ -223,7 +229,10 @@
 }
 
 // Permit implements proxy.Preparer. It records its calls and answers as the test has set.
-func (h *harness) Permit(_ context.Context, p proxy.PermitParams) (string, error) {
+func (h *harness) Permit(ctx context.Context, p proxy.PermitParams) (string, error) {
+	if h.wait != nil {
+		return "", h.wait(ctx)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.permits = append(h.permits, p)
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/protocol"
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/shutdown"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/flow/dispatcher"
@@ -113,20 +114,22 @@
 	notices     *notice.Recorder
 	versions    *versionset.Tracker
 	paths       Paths
+	shutdown    *shutdown.Shutdown
 	log         logr.Logger
 }
 
 // New returns a proxy. index returns the endpoints known at the moment; budget
 // limits retries; q knows which prompts are held back; limits knows which endpoints limit the
 // requests of all instances; notices receives what endpoints say of themselves; versions knows
-// which versions of their software services run; paths knows which ones this instance can reach.
+// which versions of their software services run; paths knows which ones this instance can reach;
+// stop ends requests that this instance cannot serve before it stops.
 func New(codec protocol.Codec, index func() *registry.Index, tables *holder.Holder, d *dispatcher.Dispatcher,
 	pool *connpool.Pool, budget *retrylimit.Limiter, preparer Preparer, q *quarantine.Quarantine, limits *ratelimit.Tracker,
-	notices *notice.Recorder, versions *versionset.Tracker, paths Paths, log logr.Logger,
+	notices *notice.Recorder, versions *versionset.Tracker, paths Paths, stop *shutdown.Shutdown, log logr.Logger,
 ) *Proxy {
 	return &Proxy{
 		codec: codec, index: index, tables: tables, dispatcher: d, pool: pool, retryBudget: budget, preparer: preparer,
-		quarantine: q, limits: limits, notices: notices, versions: versions, paths: paths, log: log,
+		quarantine: q, limits: limits, notices: notices, versions: versions, paths: paths, shutdown: stop, log: log,
 	}
 }
 
@@ -140,6 +143,8 @@
 	x := &exchange{
 		Proxy: p, request: req, writer: w, blocks: promptBlocks(req.Prompt), possibleRuns: req.Runs, mayHaveRun: req.Runs > 0,
 	}
+	ctx, release := x.limit(ctx)
+	defer release()
 	err := x.run(ctx)
 	if err == nil {
 		return nil
@@ -151,6 +156,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return x.deadlineFault()
 	}
+	if x.isStopped() {
+		return x.stopFault(err)
+	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -178,8 +186,10 @@
 	crashed       bool               // whether an endpoint crashed while it ran the request
 	known         quarantine.Subject // zero before the first call of subject
 	stream        streamState
-	origin        origin.Origin // of the events that the caller holds; zero if it holds none
-	bound         bool          // the caller holds events, so that only an endpoint of the origin may go on
+	origin        origin.Origin   // of the events that the caller holds; zero if it holds none
+	bound         bool            // the caller holds events, so that only an endpoint of the origin may go on
+	waiting       context.Context // ends when the request may not be sent any more
+	awaitAll      func()          // lifts the limit that a stop of this instance sets to the time for the answer
 }
 
 // run serves the request here, or has another instance serve it if this one has no path to its
@@ -203,12 +213,12 @@
 // makes attempts until one decides how the request ends.
 func (x *exchange) runHere(ctx context.Context) error {
 	if x.request.TakesUp() {
-		if err := x.bindToOrigin(ctx); err != nil {
+		if err := x.bindToOrigin(); err != nil {
 			return err
 		}
 	}
 	if x.isStream() || x.isHeld() {
-		if err := x.prepare(ctx); err != nil {
+		if err := x.prepare(); err != nil {
 			return err
 		}
 		defer func() { x.prepared.Ended() }()
@@ -224,8 +234,8 @@
 
 // prepare has the inputs produced and an endpoint chosen, and ends the previous
 // preparation if there was one.
-func (x *exchange) prepare(ctx context.Context) error {
-	prepared, err := x.preparer.Prepare(ctx, PrepareParams{Request: x.request, Round: x.prepareRounds, Tried: x.tried, Version: x.origin.Version})
+func (x *exchange) prepare() error {
+	prepared, err := x.preparer.Prepare(x.waiting, PrepareParams{Request: x.request, Round: x.prepareRounds, Tried: x.tried, Version: x.origin.Version})
 	x.prepareRounds++
 	if err != nil {
 		return err
@@ -247,7 +257,7 @@
 	if x.isHeld() {
 		return false, x.heldFault()
 	}
-	lease, err := x.acquireLease(ctx)
+	lease, err := x.acquireLease()
 	if err != nil {
 		return false, x.acquireFault(err)
 	}
@@ -268,6 +278,10 @@
 		lease.Cancel()
 		return false, x.riskFault()
 	}
+	if x.waiting.Err() != nil {
+		lease.Cancel()
+		return false, x.waiting.Err()
+	}
 	x.sends++
 	return x.send(ctx, lease, endpoint)
 }
@@ -275,7 +289,7 @@
 // acquireLease gets a lease on an endpoint, preferably the one that was chosen by
 // the preparation. It waits for a free endpoint until the request's goal, or for
 // a quarter of the remaining time if the goal has passed.
-func (x *exchange) acquireLease(ctx context.Context) (*dispatcher.Lease, error) {
+func (x *exchange) acquireLease() (*dispatcher.Lease, error) {
 	latest := x.request.Goal
 	if now := time.Now(); latest.Before(now) {
 		latest = now.Add(time.Until(x.request.Deadline) / 4)
@@ -296,9 +310,9 @@
 		}
 	}
 	if limited := x.limitedEndpoints(); len(limited) > 0 {
-		return x.acquireLimited(ctx, call, limited)
+		return x.acquireLimited(x.waiting, call, limited)
 	}
-	return x.dispatcher.Acquire(ctx, call)
+	return x.dispatcher.Acquire(x.waiting, call)
 }
 
 // acquireFault returns the fault of a request for which the dispatcher gave no
@@ -338,7 +352,7 @@
 // the context has ended, nothing does.
 func (x *exchange) handleSendError(ctx context.Context, err error) (bool, error) {
 	if ctx.Err() != nil {
-		x.mayHaveRun = true
+		x.mayHaveRun = x.mayHaveRun || failure.KindOf(err) != failure.Unsent
 		return false, ctx.Err()
 	}
 	if failure.KindOf(err) == failure.Unsent {
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -86,7 +86,10 @@
 // sendToInstance sends the request to another instance and passes its response on. It reports
 // whether a third one may be asked.
 func (x *exchange) sendToInstance(ctx context.Context, address string) (again bool, err error) {
-	left := time.Until(x.request.Deadline)
+	if x.waiting.Err() != nil {
+		return false, x.waiting.Err()
+	}
+	left := x.timeToRelay()
 	if left < minTimeLeft {
 		return false, x.deadlineFault()
 	}
@@ -151,7 +154,7 @@
 // Whether that instance sent it on is not known.
 func (x *exchange) handleRelayError(ctx context.Context, address string, err error) (again bool, _ error) {
 	if ctx.Err() != nil {
-		x.mayHaveRun = true
+		x.mayHaveRun = x.mayHaveRun || failure.KindOf(err) != failure.Unsent
 		return false, ctx.Err()
 	}
 	x.paths.Relays.Failed(address, time.Now())
@@ -178,6 +181,9 @@
 		x.possibleRuns++
 		return x.mayRepeat() && x.retryBudget.AllowRetry(x.request.Service, time.Now()), f
 	}
+	if _, stopping := x.shutdown.Left(); stopping && f.Code == code.NoTime && f.RetryAfter == 0 {
+		f.RetryAfter = defaultRetryAfter // it had the time until this instance stops, which the caller may exceed
+	}
 	switch f.Code {
 	case code.NoEndpoint, code.EndpointRefused, code.NotReady, code.Overloaded, code.UnknownService, code.UnknownAccount:
 		again = x.retryBudget.AllowRetry(x.request.Service, time.Now())
--- a/internal/edge/proxy/send.go
+++ b/internal/edge/proxy/send.go
@@ -43,7 +43,7 @@
 	x.recordNotice(e, resp, sent)
 	switch {
 	case x.codec.Refused(resp.Status, resp.Header):
-		return x.handleRefusal(ctx, lease, resp)
+		return x.handleRefusal(lease, resp)
 	case resp.Status >= 300 || !x.codec.Signed(resp.Header):
 		return x.handleErrorResponse(ctx, lease, resp)
 	case x.isStream():
@@ -86,11 +86,11 @@
 // request. Status 409 means that its inputs no longer exist on the endpoint that
 // held them, so they are prepared again. After any other refusal the request is
 // retried on another endpoint.
-func (x *exchange) handleRefusal(ctx context.Context, lease *dispatcher.Lease, resp *connpool.Response) (bool, error) {
+func (x *exchange) handleRefusal(lease *dispatcher.Lease, resp *connpool.Response) (bool, error) {
 	discard(resp)
 	lease.Done(endpointstats.Result{Kind: failure.Refused})
 	if resp.Status == http.StatusConflict && len(x.prepared.Inputs) > 0 {
-		return x.retryWithNewInputs(ctx, "inputs were gone")
+		return x.retryWithNewInputs("inputs were gone")
 	}
 	x.tried = append(x.tried, lease.Endpoint.Name)
 	return x.retryOrFail(fmt.Sprintf("endpoint %s refused with status %d", lease.Endpoint.Name, resp.Status), false)
@@ -98,11 +98,11 @@
 
 // retryWithNewInputs retries a request whose inputs no longer exist, after
 // preparing them again.
-func (x *exchange) retryWithNewInputs(ctx context.Context, reason string) (bool, error) {
+func (x *exchange) retryWithNewInputs(reason string) (bool, error) {
 	if ok, err := x.retryOrFail(reason, false); !ok {
 		return false, err
 	}
-	if err := x.prepare(ctx); err != nil {
+	if err := x.prepare(); err != nil {
 		return false, err
 	}
 	return true, nil
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -61,7 +61,7 @@
 	}
 	x.stream.resumed = true
 	// The inputs were released at the first event, so a resumed stream needs new ones.
-	if err := x.prepare(ctx); err != nil {
+	if err := x.prepare(); err != nil {
 		return false, err
 	}
 	return true, nil
@@ -117,6 +117,7 @@
 	h.Del("Content-Length")
 	x.writer.WriteHeader(resp.Status)
 	x.stream.headerWritten = true
+	x.awaitAll() // no other answer can be given now
 	return nil
 }
 
--- a/internal/edge/proxy/version.go
+++ b/internal/edge/proxy/version.go
@@ -3,7 +3,6 @@
 // This file keeps streams at the version of the endpoints' software that began them.
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -16,11 +15,11 @@
 
 // bindToOrigin binds a request that takes up a stream to the software that began it. If no
 // instance knows that, the request can go on only if its service has run one version.
-func (x *exchange) bindToOrigin(ctx context.Context) error {
-	o, ok := x.preparer.Origin(ctx, origin.Key(x.request.Account, x.request.Resumes))
+func (x *exchange) bindToOrigin() error {
+	o, ok := x.preparer.Origin(x.waiting, origin.Key(x.request.Account, x.request.Resumes))
 	if !ok {
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if x.waiting.Err() != nil {
+			return x.waiting.Err()
 		}
 		version, only := x.versions.Only(x.request.Service, time.Now())
 		if !only {
--- a/internal/flow/dispatcher/dispatcher.go
+++ b/internal/flow/dispatcher/dispatcher.go
@@ -116,6 +116,23 @@
 // IsFailing reports whether the last call of this instance to the endpoint failed.
 func (d *Dispatcher) IsFailing(name string) bool { return d.stats.Entry(name).Get().Failures > 0 }
 
+// MeanDuration returns the mean duration of the calls of this instance to endpoints, by their names;
+// that of a stream lasts to its end. It is zero if no call has ended.
+func (d *Dispatcher) MeanDuration(endpoints []string) time.Duration {
+	var sum time.Duration
+	known := 0
+	for _, name := range endpoints {
+		if latency := d.stats.Get(name).Latency; latency > 0 {
+			sum += latency
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / time.Duration(known)
+}
+
 func (d *Dispatcher) newLease(c Call, table *fleettable.Table, choice picker.Choice) *Lease {
 	d.stats.Start(choice.Endpoint.Name, c.Query.Now)
 	if d.log.Enabled() {
--- a/internal/stage/forwarder/forwarder.go
+++ b/internal/stage/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/peerstatus"
 	"github.com/jacinthstile/jacinthstile/internal/edge/proxy"
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
+	"github.com/jacinthstile/jacinthstile/internal/edge/shutdown"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/transport"
@@ -67,6 +68,7 @@
 	checkPaths       func()
 	hintPaths        func(services []string, now time.Time)
 	relays           *relays.List
+	shutdown         *shutdown.Shutdown
 	roster           *roster.Roster
 	fleet            *fleetsize.Counter
 	log              logr.Logger
@@ -103,6 +105,7 @@
 	HintPaths        func(services []string, now time.Time) // receives services that other instances cannot reach
 	Relays           *relays.List                           // receives the instances that serve requests for this one
 	PeerStatus       *peerstatus.Latest                     // receives what peers know, and the confirmations and changes that the leader reports
+	Shutdown         *shutdown.Shutdown
 }
 
 // New returns a forwarder of the instance that peers reach at address self. It
@@ -111,7 +114,7 @@
 func New(self string, local *coordinator.Coordinator, e *election.Election, t *transport.Transport, s LocalState, log logr.Logger) *Forwarder {
 	f := &Forwarder{
 		self: self, local: local, election: e, transport: t, eligible: s.Eligible, reachesEndpoints: s.ReachesEndpoints, storeLag: storelag.New(), freshness: s.Freshness,
-		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, checkPaths: s.CheckPaths, hintPaths: s.HintPaths, relays: s.Relays, roster: roster.New(), fleet: fleetsize.New(),
+		peerStatus: s.PeerStatus, status: s.Status, history: s.History, notices: s.Notices, quarantine: s.Quarantine, limits: s.Limits, versions: s.Versions, origins: newOrigins(), brittle: s.Brittle, relay: s.Relay, unreachable: s.Unreachable, checkPaths: s.CheckPaths, hintPaths: s.HintPaths, relays: s.Relays, shutdown: s.Shutdown, roster: roster.New(), fleet: fleetsize.New(),
 		log: log, coordinators: make(map[string]*remoteCoordinator), settled: make(chan struct{}),
 	}
 	f.markSettled = sync.OnceFunc(func() { close(f.settled) })
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -30,6 +30,7 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 	"github.com/jacinthstile/jacinthstile/internal/edge/relays"
 	"github.com/jacinthstile/jacinthstile/internal/edge/request"
+	"github.com/jacinthstile/jacinthstile/internal/edge/shutdown"
 	"github.com/jacinthstile/jacinthstile/internal/edge/versionset"
 	"github.com/jacinthstile/jacinthstile/internal/edge/watcher"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
@@ -101,6 +102,7 @@
 	stop       func()
 	quarantine *quarantine.Quarantine
 	limits     *ratelimit.Tracker
+	shutdown   *shutdown.Shutdown
 }
 
 // at returns a position of the store in its first era.
@@ -152,6 +154,7 @@
 		c.seed = in.address
 	}
 	c.started++
+	in.shutdown = shutdown.New()
 	catalogNow := func() *catalog.Catalog { return c.catalog }
 	endpointsNow := func() *registry.Index { return c.index }
 	in.limits, in.quarantine = ratelimit.New(), quarantine.New()
@@ -168,7 +171,7 @@
 		election.New(candidate, []string{c.seed}), tr, forwarder.LocalState{
 			Eligible: func() bool { return !in.ineligible.Load() }, ReachesEndpoints: bt.ReachesEndpoints, Freshness: current, Status: in.status,
 			History: in.history, Notices: in.notices, Quarantine: in.quarantine, Limits: in.limits, Versions: versionset.New(), Brittle: brittle.New(),
-			Relay: func() relays.Relay { return relays.Relay{} }, Unreachable: func() []string { return nil }, CheckPaths: func() {}, HintPaths: func([]string, time.Time) {}, Relays: relays.New(""), PeerStatus: in.peerStatus,
+			Relay: func() relays.Relay { return relays.Relay{} }, Unreachable: func() []string { return nil }, CheckPaths: func() {}, HintPaths: func([]string, time.Time) {}, Relays: relays.New(""), PeerStatus: in.peerStatus, Shutdown: in.shutdown,
 		}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan struct{})
@@ -283,6 +286,28 @@
 	g.Expect(err).NotTo(failWith(code.Internal))
 }
 
+// TestStoppingCoordinatorReturnsWaitingOrders guards against orders of other instances that a stopping
+// coordinator keeps to its end although it cannot carry them out.
+func TestStoppingCoordinatorReturnsWaitingOrders(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster()
+	weak := c.start(t, &fakeExecutor{name: "weak"}, 100)
+	strong := c.start(t, &fakeExecutor{name: "strong", hold: make(chan struct{})}, 400)
+	inputs := make(chan []string, 1)
+	go func() {
+		p, err := weak.Prepare(t.Context(), c.round("r1", 8*time.Second))
+		if err == nil {
+			inputs <- p.Inputs
+		}
+	}()
+	g.Consistently(inputs, 700*time.Millisecond).ShouldNot(Receive())
+	strong.ineligible.Store(true)
+	strong.shutdown.Advance(4 * time.Second)
+	g.Consistently(inputs, 700*time.Millisecond).ShouldNot(Receive(), "there is time left")
+	strong.shutdown.Advance(time.Second)
+	g.Eventually(inputs, waitLimit).Should(Receive(ConsistOf("weak/1", "weak/2")))
+}
+
 // TestOrderStaysWithASilentCoordinator guards against starting running work again elsewhere
 // because the coordinator is slow to answer polls for a while, although it works on the
 // order and its connection lives.
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -28,6 +28,9 @@
 	// maxRemaining bounds every duration that is taken from a peer's message, in both
 	// directions.
 	maxRemaining = 10 * time.Minute
+	// returnTime is the time before the end of this instance at which the orders of peers are
+	// returned that still wait, so that other coordinators can carry them out.
+	returnTime = 1500 * time.Millisecond
 )
 
 type message = proto.Message
@@ -70,6 +73,8 @@
 			return nil, err
 		}
 		o.MayTry = f.mayTry()
+		ctx, release := f.limit(ctx)
+		defer release()
 		return answer(f.local.Prepare(ctx, o))
 	})
 	f.transport.HandleCancellable(method.StagePermit, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
@@ -77,6 +82,8 @@
 		if err := proto.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
+		ctx, release := f.limit(ctx)
+		defer release()
 		name, err := f.local.Permit(ctx, decodePermit(&in, time.Now()))
 		return answer(coordinator.Prepared{Engine: name}, err)
 	})
@@ -94,6 +101,11 @@
 	})
 }
 
+// limit returns a context for an order of a peer that ends when this instance stops too soon to carry it out.
+func (f *Forwarder) limit(ctx context.Context) (limited context.Context, release func()) {
+	return f.shutdown.Limit(ctx, func() time.Duration { return returnTime })
+}
+
 // encodeOrder returns the message of an order with the given id. Its times are sent as the time left
 // until them, so that the clocks of the instances need not agree.
 func encodeOrder(r proxy.PrepareParams, id string) *stagepb.Order {
