Graceful stop: the daemon accepts requests while others run

Cause: the daemon closed its listener and the idle connections of callers as soon as no request had come for half of the drain time, although it then waited for requests in flight. Whatever came a little later crossed that close. A trial that closes no idle connection got "connection refused" in its place, so it is the time of the close and not only how idle connections are closed. While requests are in flight it delays nothing to accept others, so that the daemon now does, for four drain times in all as before.

TestStopAcceptsWhileRequestsRun failed before:

--- a/internal/bench/matrix/step.go
+++ b/internal/bench/matrix/step.go
@@ -157,10 +157,10 @@
 }
 
 // actStop stops a daemon while a stream and a booking are in flight there. Both are
-// held longer than drainTime, so that they are still in flight when the daemon
-// begins to close.
+// held longer than the daemon accepts requests, which is for four drain times at most,
+// so that they are still in flight when it begins to close.
 func actStop(ctx context.Context, r *run) {
-	hold := func() { time.Sleep(3 * drainTime) }
+	hold := func() { time.Sleep(6 * drainTime) }
 	r.injector.Hook(faultinject.Hook{Stage: " generate", At: midStreamToken, Do: hold})
 	r.injector.Hook(faultinject.Hook{Stage: " POST /bookings", At: faultinject.Arrival, Do: hold})
 	waitStream := r.async(func() { r.pipeline(ctx, firstDaemon) })
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// While requests keep arriving, the daemon accepts them for at most this many
-	// drain times.
+	// While requests keep arriving or are in flight, the daemon accepts more for at
+	// most this many drain times.
 	maxDrainTimes    = 4
 	stopPollInterval = 20 * time.Millisecond
 	stopLogInterval  = time.Second
@@ -51,16 +51,18 @@
 
 // waitForLoadBalancer waits for the drain time, and then until no request has arrived for
 // half of it: while requests keep arriving, the load balancer has not noticed yet
-// that the instance is not ready. It waits for at most maxDrainTimes drain times.
+// that the instance is not ready. It also waits for requests in flight, since to accept
+// others until they have ended delays nothing, and fewer cross the close of the
+// listener and of idle connections. It waits for at most maxDrainTimes drain times.
 func (d *Daemon) waitForLoadBalancer(ctx context.Context, drain time.Duration) {
 	latest := time.Now().Add(maxDrainTimes * drain)
 	pause.For(ctx, drain)
 	for ctx.Err() == nil && time.Now().Before(latest) {
 		sinceLast := time.Since(time.Unix(0, d.lastRequest.Load()))
-		if sinceLast >= drain/2 {
+		if sinceLast >= drain/2 && d.inFlight.Load() == 0 {
 			return
 		}
-		pause.For(ctx, drain/2-sinceLast)
+		pause.For(ctx, max(stopPollInterval, drain/2-sinceLast))
 	}
 }
 
--- a/internal/entry/daemon/stop_test.go
+++ b/internal/entry/daemon/stop_test.go
@@ -140,6 +140,32 @@
 	g.Expect(again.Class).To(Equal(class.Unknown), "the issuer is gone: %+v", again)
 }
 
+// TestStopAcceptsWhileRequestsRun guards against a daemon that closes its listener and the idle connections of
+// its callers although it has to wait for requests in flight anyway: requests cross the close. After a pause
+// longer than the load balancer should need, one comes on a kept and one on a new connection.
+func TestStopAcceptsWhileRequestsRun(t *testing.T) {
+	g := NewWithT(t)
+	timing := fleet.DefaultTiming()
+	timing.Service = 3 * drain
+	f := startFleet(t, timing)
+	c := newClients(t, f)
+	ctx := t.Context()
+	ticket, o := c.caller.Ticket(ctx, c.base(0))
+	g.Expect(o.Verdict).To(Equal(caller.Answered))
+	c.wg.Go(func() { c.keep(c.book(ctx, 0, ticket, `{"slot":1}`)) })
+	time.Sleep(drain / 5)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Members()[0].Stop(ctx) }()
+	time.Sleep(2 * drain)
+	for _, kind := range []string{"kept", "new"} {
+		_, o := c.caller.Ticket(ctx, c.base(0))
+		g.Expect(o.Verdict).To(Equal(caller.Answered), "%s connection: %+v", kind, o)
+	}
+	c.wg.Wait()
+	g.Expect(<-stopped).To(Succeed())
+	g.Expect(c.outcomes[0].Verdict).To(Equal(caller.Answered))
+}
+
 // TestEndpointsEmptyUnderLoad drains an endpoint under load in each of three ways.
 // It fails if the endpoint still gets a new call after the permitted time, or if
 // a request fails.
