--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -43,6 +43,7 @@
 	defaultRetryAfter = 300 * time.Millisecond // used when the dispatcher gives no estimate
 	maxResponseBytes  = 8 << 20                // limit of a response that is not a stream
 	maxDiscardedBytes = 64 << 10               // of a body that is read only to reuse its connection
+	maxBlocks         = 1 << 14                // of a prompt; 4 million tokens
 	tokensPerBlock    = 256                    // prompt tokens for each block in the index of prefix caches
 )
 
--- a/internal/edge/proxy/stream.go
+++ b/internal/edge/proxy/stream.go
@@ -187,7 +187,8 @@
 
 // promptBlocks returns the block hashes under which the prompt is looked up in
 // the index of prefix caches. A block stands for tokensPerBlock tokens of a part
-// and for all parts before it.
+// and for all parts before it. Of a very long prompt the first maxBlocks blocks are
+// looked up.
 func promptBlocks(prompt []request.PromptPart) []uint64 {
 	var blocks []uint64
 	h := xxhash.New()
@@ -197,6 +198,9 @@
 		}
 		base := h.Sum64()
 		for i := 0; i < part.Tokens; i += tokensPerBlock {
+			if len(blocks) == maxBlocks {
+				return blocks
+			}
 			blocks = append(blocks, base+uint64(i))
 		}
 	}
