--- a/internal/peer/transport/session.go
+++ b/internal/peer/transport/session.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/bounded"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
 	"github.com/jacinthstile/jacinthstile/internal/peer/method"
 	"github.com/jacinthstile/jacinthstile/internal/peer/peerpb"
@@ -109,10 +111,20 @@
 	}
 }
 
-// read decodes one length-prefixed message. protodelim requires an io.ByteReader
-// to read the length.
+// read decodes one length-prefixed message.
 func read(r io.Reader, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(byteReader{r}, m)
+	size, err := binary.ReadUvarint(byteReader{r})
+	if err != nil {
+		return err
+	}
+	if size > maxMessageBytes {
+		return fmt.Errorf("got a message of %d bytes, want %d at most", size, maxMessageBytes)
+	}
+	data, err := bounded.Read(r, int64(size))
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(data, m)
 }
 
 // byteReader adds ReadByte to a reader, without reading ahead.
