--- a/internal/base/bounded/bounded_test.go
+++ b/internal/base/bounded/bounded_test.go
@@ -28,6 +28,6 @@
 		runtime.ReadMemStats(&after)
 		g.Expect(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
 		g.Expect(got).To(HaveLen(size))
-		g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 128<<10+8*size))
+		g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 128<<10+8*size))
 	}
 }
--- a/internal/peer/encoding/encoding.go
+++ b/internal/peer/encoding/encoding.go
@@ -1,4 +1,4 @@
-// Package encoding encodes messages to other instances.
+// Package encoding encodes and decodes the messages between instances.
 package encoding
 
 // This file defines Marshal.
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/edge/origin"
 	"github.com/jacinthstile/jacinthstile/internal/edge/originlog"
@@ -148,7 +146,7 @@
 func (f *Forwarder) handleOrigins() {
 	f.transport.Handle(method.StageOrigin, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.OriginQuery
-		if err := proto.Unmarshal(body, &in); err != nil {
+		if err := encoding.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
 		o, _ := f.origins.lookup(in.Stream, time.Now())
--- a/internal/stage/forwarder/serve.go
+++ b/internal/stage/forwarder/serve.go
@@ -38,7 +38,7 @@
 func (f *Forwarder) registerHandlers() {
 	f.transport.Handle(method.StageRoll, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var roll stagepb.Roll
-		if err := proto.Unmarshal(body, &roll); err != nil {
+		if err := encoding.Unmarshal(body, &roll); err != nil {
 			return nil, err
 		}
 		now := time.Now()
@@ -63,7 +63,7 @@
 	})
 	f.transport.HandleCancellable(method.StageOrder, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Order
-		if err := proto.Unmarshal(body, &in); err != nil {
+		if err := encoding.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
 		o, err := decodeOrder(&in, time.Now())
@@ -75,7 +75,7 @@
 	})
 	f.transport.HandleCancellable(method.StagePermit, func(ctx context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.Permit
-		if err := proto.Unmarshal(body, &in); err != nil {
+		if err := encoding.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
 		name, err := f.local.Permit(ctx, decodePermit(&in, time.Now()))
@@ -83,7 +83,7 @@
 	})
 	f.transport.Handle(method.StageNews, func(_ context.Context, _ identity.Identity, body []byte) ([]byte, error) {
 		var in stagepb.News
-		if err := proto.Unmarshal(body, &in); err != nil {
+		if err := encoding.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
 		f.local.Started(in.Started)
