Proxy, keepers: what faultOf decides is not decided before it, streams are listed once

Simplification, found on a second reading; behaviour stays. listFault and stopFault turned a request that may have run into answer_lost by themselves, which faultOf does for all faults; callers get the same code and status, with the text of the fault inside. inferOrigin checks its context once. updateKeepers listed all streams of the instance once for each new keeper.

Run: go test -race ./internal/edge/proxy; of ./internal/stage/forwarder those of origins and keepers; linters.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -163,7 +163,7 @@
 		return x.deadlineFault()
 	}
 	if x.isStopped() {
-		return x.faultOf(x.stopFault(err))
+		return x.faultOf(stopFault(err))
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
--- a/internal/edge/proxy/stopping.go
+++ b/internal/edge/proxy/stopping.go
@@ -55,17 +55,13 @@
 // isStopped reports whether the request cannot be sent any more because this instance stops.
 func (x *exchange) isStopped() bool { return errors.Is(context.Cause(x.waiting), shutdown.ErrStopping) }
 
-// stopFault returns the fault of a request that ended with an error while isStopped holds.
-func (x *exchange) stopFault(err error) error {
+// stopFault returns the fault of a request that ended with an error as this instance stops.
+func stopFault(err error) error {
 	var f *fault.Fault
-	switch {
-	case errors.As(err, &f):
-		return f
-	case x.mayHaveRun:
-		return fault.New(code.AnswerLost, "this instance stops, and no whole answer came before")
-	default:
-		f = fault.New(code.NotReady, "this instance stops before the request could be served")
-		f.RetryAfter = defaultRetryAfter
+	if errors.As(err, &f) {
 		return f
 	}
+	f = fault.New(code.NotReady, "this instance stops before the request could be served")
+	f.RetryAfter = defaultRetryAfter
+	return f
 }
--- a/internal/edge/proxy/version.go
+++ b/internal/edge/proxy/version.go
@@ -57,15 +57,16 @@
 // done so. The stream began before the request arrived, at the given time of the clock of
 // freshness, so the endpoints have to be confirmed later than that.
 func (x *exchange) inferOrigin(ctx context.Context, arrived time.Duration) (origin.Origin, error) {
-	if _, ok := x.versions.Only(x.request.Route, time.Now()); ok && ctx.Err() == nil {
-		if err := x.awaitConfirmation(ctx, arrived); err != nil {
-			return origin.Origin{}, err
-		}
-	}
 	if ctx.Err() != nil {
 		return origin.Origin{}, ctx.Err()
 	}
 	version, ok := x.versions.Only(x.request.Route, time.Now())
+	if ok {
+		if err := x.awaitConfirmation(ctx, arrived); err != nil {
+			return origin.Origin{}, err
+		}
+		version, ok = x.versions.Only(x.request.Route, time.Now()) // a registration may have come
+	}
 	if !ok {
 		return origin.Origin{}, fault.New(code.StreamUnknown, "no instance knows what began the stream of request %q", x.request.Resumes)
 	}
@@ -94,9 +95,6 @@
 // listFault returns the fault of a stream that cannot go on before the endpoints are confirmed.
 func (x *exchange) listFault() error {
 	age, _ := x.freshness.Age()
-	if x.mayHaveRun {
-		return fault.New(code.AnswerLost, "the endpoints were last confirmed %s ago, want %s at most", age, maxListAge)
-	}
 	f := fault.New(code.NotReady, "the endpoints were last confirmed %s ago, want %s at most", age, maxListAge)
 	f.RetryAfter = listRetryAfter
 	return f
--- a/internal/stage/forwarder/origins.go
+++ b/internal/stage/forwarder/origins.go
@@ -88,8 +88,12 @@
 // updateKeepers chooses the keepers anew, and tells a new one all streams that this instance
 // serves.
 func (f *Forwarder) updateKeepers(now time.Time) {
-	for _, address := range f.origins.replaceKeepers(f.election.Keepers(numKeepers, now)) {
-		for o, streams := range f.origins.own.Streams(now) {
+	added := f.origins.replaceKeepers(f.election.Keepers(numKeepers, now))
+	if len(added) == 0 {
+		return
+	}
+	for o, streams := range f.origins.own.Streams(now) {
+		for _, address := range added {
 			f.reportBegun(address, o, streams)
 		}
 	}
