Quarantine: one filter of features serves both uses

Simplification, found on a second reading; behaviour stays. withoutParts wrote the loop of withoutCrashes again.

--- a/internal/admission/quarantine/judge.go
+++ b/internal/admission/quarantine/judge.go
@@ -66,25 +66,21 @@
 
 // withoutParts leaves the evidence against whole requests.
 func withoutParts(losses []Loss) []Loss {
-	list := make([]Loss, 0, len(losses))
-	for _, l := range losses {
-		if l.Parts = slices.DeleteFunc(l.Parts, func(p string) bool { return !isWhole(p) }); len(l.Parts) > 0 {
-			list = append(list, l)
-		}
-	}
-	return list
+	return without(losses, func(_ Loss, feature string) bool { return !isWhole(feature) })
 }
 
 // withoutCrashes removes the evidence of crashes that verdicts explain: that against whole requests,
 // and with parts set that against parts of prompts. A verdict on a whole request does not explain
 // its first crashes as to parts: it may have a part in common with others that crash engines.
 func withoutCrashes(losses []Loss, explained map[string]bool, parts bool) []Loss {
+	return without(losses, func(l Loss, feature string) bool { return explained[l.Engine] && (parts || isWhole(feature)) })
+}
+
+// without removes features from losses, and the losses that have none left. It reuses their memory.
+func without(losses []Loss, drop func(l Loss, feature string) bool) []Loss {
 	kept := losses[:0]
 	for _, l := range losses {
-		if explained[l.Engine] {
-			l.Parts = slices.DeleteFunc(l.Parts, func(f string) bool { return parts || isWhole(f) })
-		}
-		if len(l.Parts) > 0 {
+		if l.Parts = slices.DeleteFunc(l.Parts, func(feature string) bool { return drop(l, feature) }); len(l.Parts) > 0 {
 			kept = append(kept, l)
 		}
 	}
