--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -tags review2 -o target/review-2 ./review/standin2
+go build -tags review2 -o target/review-2-10 ./review/standin10
