Retry budget: metrics by service, and log lines that tell what it refused

retries, retries_refused and retry_budget_used say how much of the budget is used; "not sent again" is logged when a further send is refused, and a send to another instance logs how many sends came before it and how many of them had no connection.

--- a/internal/admission/retrylimit/limiter.go
+++ b/internal/admission/retrylimit/limiter.go
@@ -3,7 +3,9 @@
 //
 // An instance may retry at most a fixed share of the first attempts that it has
 // sent itself. The retries of all instances then stay within the same share of all
-// first attempts without any communication between instances. The package does no I/O.
+// first attempts without any communication between instances, as long as each request
+// is recorded as a first attempt by one instance only, and each further send that may
+// reach an endpoint is allowed by some instance. The package does no I/O.
 package retrylimit
 
 // This file defines Limiter.
@@ -11,6 +13,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 const slices = 10 // equal parts of the window, each counted on its own
@@ -21,6 +25,7 @@
 	share  float64
 	extra  int // retries allowed in a window in addition to the share
 	window time.Duration
+	scope  tally.Scope
 
 	mu       sync.Mutex
 	services map[string]*counts
@@ -32,12 +37,19 @@
 	slice         int64 // number of the newest slice
 	firstAttempts [slices + 1]int
 	retries       [slices + 1]int
+	metrics       metrics
+}
+
+// metrics are those of one service.
+type metrics struct {
+	allowed, refused tally.Counter
+	used             tally.Gauge // retries of the window for each one that the budget has room for
 }
 
 // New returns a limiter that allows, in each window, retries up to a share of the
 // first attempts, plus a fixed number (extra) that permits retries at low load.
-func New(share float64, extra int, window time.Duration) *Limiter {
-	return &Limiter{share: share, extra: extra, window: window, services: make(map[string]*counts)}
+func New(share float64, extra int, window time.Duration, scope tally.Scope) *Limiter {
+	return &Limiter{share: share, extra: extra, window: window, scope: scope, services: make(map[string]*counts)}
 }
 
 // RecordFirstAttempt records the first attempt of a request to a service.
@@ -58,10 +70,14 @@
 		firstAttempts += c.firstAttempts[i]
 		retries += c.retries[i]
 	}
-	if float64(retries+1) > l.share*float64(firstAttempts)+float64(l.extra) {
+	budget := l.share*float64(firstAttempts) + float64(l.extra)
+	if float64(retries+1) > budget {
+		c.metrics.refused.Inc(1)
 		return false
 	}
 	c.retries[c.slice%(slices+1)]++
+	c.metrics.allowed.Inc(1)
+	c.metrics.used.Update(float64(retries+1) / budget)
 	return true
 }
 
@@ -71,7 +87,8 @@
 	slice := now.UnixNano() / int64(l.window/slices)
 	c := l.services[service]
 	if c == nil {
-		c = &counts{slice: slice}
+		scope := l.scope.Tagged(map[string]string{"service": service})
+		c = &counts{slice: slice, metrics: metrics{scope.Counter("retries"), scope.Counter("retries_refused"), scope.Gauge("retry_budget_used")}}
 		l.services[service] = c
 	}
 	for ; c.slice < slice; c.slice++ {
--- a/internal/admission/retrylimit/limiter_test.go
+++ b/internal/admission/retrylimit/limiter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
 )
@@ -25,7 +26,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	all := make([]*retrylimit.Limiter, instances)
 	for i := range all {
-		all[i] = retrylimit.New(share, 1, window)
+		all[i] = retrylimit.New(share, 1, window, tally.NoopScope)
 	}
 	type count struct{ firstAttempts, retries int }
 	var history []count // one element for each 100 ms
@@ -66,7 +67,7 @@
 // limit of another.
 func TestServicesAreIndependent(t *testing.T) {
 	g := NewWithT(t)
-	l := retrylimit.New(share, 1, window)
+	l := retrylimit.New(share, 1, window, tally.NoopScope)
 	now := time.Unix(1000, 0)
 	for range 10 {
 		l.RecordFirstAttempt("s", now)
--- a/internal/edge/proxy/exchange.go
+++ b/internal/edge/proxy/exchange.go
@@ -244,7 +244,9 @@
 	if ran && (x.prepared.Trial || !x.request.Route.Repeatable() || x.possibleRuns >= x.request.Route.Attempts) {
 		return false, fault.New(code.AnswerLost, "%s", reason)
 	}
-	if x.sends >= maxSends || !x.retryBudget.AllowRetry(x.request.Service, now) {
+	allowed := x.sends < maxSends && x.retryBudget.AllowRetry(x.request.Service, now)
+	if !allowed {
+		x.log.Info("not sent again", "request", x.request.ID, "reason", reason, "sends", x.sends)
 		if x.mayHaveRun {
 			return false, fault.New(code.AnswerLost, "%s", reason)
 		}
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -210,7 +210,7 @@
 	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), warmup.New(stats.Limits(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), h.shutdown, logr.Discard())
+		retrylimit.New(0, 4, 10*time.Second, tally.NoopScope), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), warmup.New(stats.Limits(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), h.shutdown, logr.Discard())
 	return h
 }
 
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -123,7 +123,7 @@
 		outcome, resp = err.Error(), &connpool.Response{}
 	}
 	x.log.Info("sent to another instance", "request", x.request.ID, "instance", address, "service", x.request.Service, "left", left.String(),
-		"after", time.Since(x.request.Received).String(), "runs", x.possibleRuns, "status", resp.Status,
+		"after", time.Since(x.request.Received).String(), "sends", x.sends, "unconnected", x.unconnected, "runs", x.possibleRuns, "status", resp.Status,
 		"connection", resp.Connection, "skipped", resp.Skipped, "outcome", outcome)
 }
 
