--- a/internal/admission/retrylimit/limiter_test.go
+++ b/internal/admission/retrylimit/limiter_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// TestRetriesAfterACalmStayWithinShare guards against a burst of retries that is allowed by more first attempts
+// than one window has: nothing fails for long, and then everything at once.
+func TestRetriesAfterACalmStayWithinShare(t *testing.T) {
+	const perSlice = 100
+	for offset := range 10 {
+		l := retrylimit.New(share, 0, window, tally.NoopScope)
+		now := time.Unix(1000, 0)
+		for range 300 + offset {
+			for range perSlice / 10 {
+				l.RecordFirstAttempt("s", now)
+			}
+			now = now.Add(window / 100)
+		}
+		retries := 0
+		for l.AllowRetry("s", now) {
+			retries++
+		}
+		NewWithT(t).Expect(float64(retries)).To(BeNumerically("<=", share*10*perSlice), "%d hundredths of a window later", offset)
+	}
+}
+
 // TestServicesAreIndependent guards against retries to one service that use up the
 // limit of another.
 func TestServicesAreIndependent(t *testing.T) {
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -189,6 +189,10 @@
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
+	return newHarnessWithBudget(t, retrylimit.New(0, 4, 10*time.Second, tally.NoopScope), endpoints, scripts...)
+}
+
+func newHarnessWithBudget(t *testing.T, budget *retrylimit.Limiter, endpoints int, scripts ...script) *harness {
 	h := &harness{t: t, g: gomega.NewWithT(t), scripts: scripts, quarantine: quarantine.New(), origins: make(map[uint64]origin.Origin), versions: versionset.New(), listeners: make(map[string]net.Listener), shutdown: shutdown.New()}
 	h.freshness = freshness.New(func() time.Duration { return time.Duration(h.clock.Load()) })
 	h.clock.Store(int64(time.Hour))
@@ -210,7 +214,7 @@
 	pool, closePool := connpool.New(connpool.NewDial(), nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
-		retrylimit.New(0, 4, 10*time.Second, tally.NoopScope), h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), warmup.New(stats.Limits(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), h.shutdown, logr.Discard())
+		budget, h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), warmup.New(stats.Limits(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), h.shutdown, logr.Discard())
 	return h
 }
 
--- a/internal/peer/transport/retry_test.go
+++ b/internal/peer/transport/retry_test.go
@@ -42,3 +42,25 @@
 		g.Expect(attempts).To(Equal(c.want), c.name)
 	}
 }
+
+// lateContext is a context whose deadline has passed and whose timer has not run.
+type lateContext struct{ context.Context }
+
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// TestConnectEndsAtTheDeadline guards against a busy loop while the timer that ends the context waits for the
+// processor: each attempt then fails at once.
+func TestConnectEndsAtTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	attempts := 0
+	_, err := connect(lateContext{ctx}, func(context.Context, string, string) (net.Conn, error) {
+		if attempts++; attempts == 100 {
+			cancel()
+		}
+		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+	}, "a:1")
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	g.Expect(attempts).To(Equal(1))
+}
