Sessions: connect ends at the deadline of its context

Callers of instances that were not cut off waited until their deadline, or got answers by an old manifest, for seconds after others had been cut off. Cause: an attempt to dial fails at once after the deadline of its context, and connect repeated it until the timer of the context had run, for which the loop left no processor where there is one. Class: a loop around a call that returns at once, ended only by a timer that needs the same processor. connect compares the deadline with the clock itself.

--- a/internal/peer/transport/dial.go
+++ b/internal/peer/transport/dial.go
@@ -124,18 +124,25 @@
 // own timeout, until ctx ends. A new attempt sends a new SYN; the kernel
 // would retransmit one that was lost, or that arrived before the peer was up,
 // only after 1 s. The dialer's own timeout is reported as one of two errors.
-// ETIMEDOUT, which the kernel reports, ends connect: it may be returned at once,
-// so that repeating it would be a busy loop.
+// Attempts that may fail at once are not repeated, which would be a busy loop: after
+// ETIMEDOUT, which the kernel reports, and after the deadline of ctx.
 func connect(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) (net.Conn, error) {
 	for {
 		conn, err := dial(ctx, "tcp", address)
 		timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
-		if err == nil || ctx.Err() != nil || !timedOut {
+		if err == nil || !timedOut || hasEnded(ctx) {
 			return conn, err
 		}
 	}
 }
 
+// hasEnded reports whether ctx has ended or its deadline has passed. The timer that ends it at its
+// deadline may be late, as it waits for the processor.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // dial connects to a peer and exchanges hellos. It returns the session and the
 // address of the peer's listener.
 func (t *Transport) dial(ctx context.Context, address string) (*session, string, error) {
