--- a/internal/peer/transport/connect_test.go
+++ b/internal/peer/transport/connect_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"net"
 	"os"
+	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -75,3 +77,45 @@
 	_, err := a.Call(ctx, l.Addr().String(), method.Part, &peerpb.Blob{}, &peerpb.Blob{})
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// TestWaitingForSilentPeersTakesLittleProcessorTime guards against calls that keep the processor busy while
+// they wait for peers from which nothing comes.
+func TestWaitingForSilentPeersTakesLittleProcessorTime(t *testing.T) {
+	const peers, length = 8, 3 * time.Second
+	g := NewWithT(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	a, closeA := transport.New(identity.Identity{Name: "a", Incarnation: 1, Seat: -1}, nil, logr.Discard())
+	t.Cleanup(closeA)
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	var addresses []string
+	for range peers {
+		l, fillers := fullListener(t)
+		defer l.Close()
+		for _, c := range fillers {
+			defer c.Close()
+		}
+		addresses = append(addresses, l.Addr().String())
+	}
+	before := processorTime(g)
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() {
+			for ctx.Err() == nil {
+				callCtx, end := context.WithTimeout(ctx, 400*time.Millisecond)
+				_, err := a.Call(callCtx, address, method.Part, &peerpb.Blob{}, &peerpb.Blob{})
+				end()
+				g.Expect(err).To(HaveOccurred())
+			}
+		})
+	}
+	calls.Wait()
+	g.Expect(processorTime(g) - before).To(BeNumerically("<", length/20))
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(g *WithT) time.Duration {
+	var u syscall.Rusage
+	g.Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
