Retry budget: retries of a window are held against first attempts of one window

When many requests failed at once after a calm, a service got more repeats than the rule allows. Cause: the limiter has 11 slices of a tenth of the window, and counted the first attempts of all 11, so that the retries of up to 1.1 windows were allowed within one. Where all instances use up their budgets, that tenth is more than the slack as soon as a window has many requests: at 65 instances with one retry of their own each, from 5,250 requests on. Now retries are counted over 11 slices, which cover a window, and first attempts over the 10 newest.

TestRetriesAfterACalmStayWithinShare failed before (202 retries, 200 allowed).

--- a/internal/admission/retrylimit/limiter.go
+++ b/internal/admission/retrylimit/limiter.go
@@ -31,8 +31,9 @@
 	services map[string]*counts
 }
 
-// counts holds the attempts of one service by slice. It has one slice more than the
-// window, because the newest slice is still incomplete.
+// counts holds the attempts of one service by slice. It has one slice more than the window, because
+// the newest slice is still incomplete: all slices hold at least the retries of a window, and those
+// without the oldest at most its first attempts.
 type counts struct {
 	slice         int64 // number of the newest slice
 	firstAttempts [slices + 1]int
@@ -66,8 +67,11 @@
 	defer l.mu.Unlock()
 	c := l.advance(service, now)
 	firstAttempts, retries := 0, 0
+	oldest := int((c.slice + 1) % (slices + 1))
 	for i := range c.firstAttempts {
-		firstAttempts += c.firstAttempts[i]
+		if i != oldest {
+			firstAttempts += c.firstAttempts[i]
+		}
 		retries += c.retries[i]
 	}
 	budget := l.share*float64(firstAttempts) + float64(l.extra)
