Retry budget: the window is measured by the boot clock

A step of the time of day made the limiter forget retries of the window (ahead) or stretch its newest slice (back), as slices were numbered by the time of day. The limiter now takes a clock, as the tracker of confirmations does, so that no caller can pass a time of day.

--- a/internal/admission/retrylimit/limiter.go
+++ b/internal/admission/retrylimit/limiter.go
@@ -25,6 +25,7 @@
 	share  float64
 	extra  int // retries allowed in a window in addition to the share
 	window time.Duration
+	clock  func() time.Duration
 	scope  tally.Scope
 
 	mu       sync.Mutex
@@ -48,24 +49,26 @@
 }
 
 // New returns a limiter that allows, in each window, retries up to a share of the
-// first attempts, plus a fixed number (extra) that permits retries at low load.
-func New(share float64, extra int, window time.Duration, scope tally.Scope) *Limiter {
-	return &Limiter{share: share, extra: extra, window: window, scope: scope, services: make(map[string]*counts)}
+// first attempts, plus a fixed number (extra) that permits retries at low load. The
+// clock must not follow steps of the time of day, and must continue while the instance is suspended, as
+// boottime.Now does.
+func New(share float64, extra int, window time.Duration, clock func() time.Duration, scope tally.Scope) *Limiter {
+	return &Limiter{share: share, extra: extra, window: window, clock: clock, scope: scope, services: make(map[string]*counts)}
 }
 
 // RecordFirstAttempt records the first attempt of a request to a service.
-func (l *Limiter) RecordFirstAttempt(service string, now time.Time) {
+func (l *Limiter) RecordFirstAttempt(service string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.advance(service, now)
+	c := l.advance(service)
 	c.firstAttempts[c.slice%(slices+1)]++
 }
 
 // AllowRetry reports whether another retry to a service is allowed, and counts it if so.
-func (l *Limiter) AllowRetry(service string, now time.Time) bool {
+func (l *Limiter) AllowRetry(service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.advance(service, now)
+	c := l.advance(service)
 	firstAttempts, retries := 0, 0
 	oldest := int((c.slice + 1) % (slices + 1))
 	for i := range c.firstAttempts {
@@ -86,9 +89,9 @@
 }
 
 // advance returns the counts of a service after clearing the slices that have left
-// the window at now. The caller holds l.mu.
-func (l *Limiter) advance(service string, now time.Time) *counts {
-	slice := now.UnixNano() / int64(l.window/slices)
+// the window. The caller holds l.mu.
+func (l *Limiter) advance(service string) *counts {
+	slice := int64(l.clock() / (l.window / slices))
 	c := l.services[service]
 	if c == nil {
 		scope := l.scope.Tagged(map[string]string{"service": service})
--- a/internal/admission/retrylimit/limiter_test.go
+++ b/internal/admission/retrylimit/limiter_test.go
@@ -25,12 +25,12 @@
 	const instances = 86
 	rng := rand.New(rand.NewPCG(1, 1))
 	all := make([]*retrylimit.Limiter, instances)
+	now := time.Hour
 	for i := range all {
-		all[i] = retrylimit.New(share, 1, window, tally.NoopScope)
+		all[i] = retrylimit.New(share, 1, window, func() time.Duration { return now }, tally.NoopScope)
 	}
 	type count struct{ firstAttempts, retries int }
 	var history []count // one element for each 100 ms
-	now := time.Unix(1000, 0)
 	for step := range 600 {
 		var c count
 		rate := 20
@@ -39,14 +39,14 @@
 		}
 		for range rate {
 			a := all[rng.IntN(instances)]
-			a.RecordFirstAttempt("s", now)
+			a.RecordFirstAttempt("s")
 			c.firstAttempts++
-			for a.AllowRetry("s", now) {
+			for a.AllowRetry("s") {
 				c.retries++
 			}
 		}
 		history = append(history, c)
-		now = now.Add(100 * time.Millisecond)
+		now += 100 * time.Millisecond
 	}
 	for from := 0; from+100 <= len(history); from++ {
 		firstAttempts, retries := 0, 0
@@ -68,16 +68,16 @@
 func TestRetriesAfterACalmStayWithinShare(t *testing.T) {
 	const perSlice = 100
 	for offset := range 10 {
-		l := retrylimit.New(share, 0, window, tally.NoopScope)
-		now := time.Unix(1000, 0)
+		now := time.Hour
+		l := retrylimit.New(share, 0, window, func() time.Duration { return now }, tally.NoopScope)
 		for range 300 + offset {
 			for range perSlice / 10 {
-				l.RecordFirstAttempt("s", now)
+				l.RecordFirstAttempt("s")
 			}
-			now = now.Add(window / 100)
+			now += window / 100
 		}
 		retries := 0
-		for l.AllowRetry("s", now) {
+		for l.AllowRetry("s") {
 			retries++
 		}
 		NewWithT(t).Expect(float64(retries)).To(BeNumerically("<=", share*10*perSlice), "%d hundredths of a window later", offset)
@@ -88,16 +88,17 @@
 // limit of another.
 func TestServicesAreIndependent(t *testing.T) {
 	g := NewWithT(t)
-	l := retrylimit.New(share, 1, window, tally.NoopScope)
-	now := time.Unix(1000, 0)
+	now := time.Hour
+	l := retrylimit.New(share, 1, window, func() time.Duration { return now }, tally.NoopScope)
 	for range 10 {
-		l.RecordFirstAttempt("s", now)
+		l.RecordFirstAttempt("s")
 	}
 	for range 3 {
-		g.Expect(l.AllowRetry("s", now)).To(BeTrue())
+		g.Expect(l.AllowRetry("s")).To(BeTrue())
 	}
-	g.Expect(l.AllowRetry("s", now)).To(BeFalse())
-	g.Expect(l.AllowRetry("other", now)).To(BeTrue(), "the extra retry")
-	g.Expect(l.AllowRetry("other", now)).To(BeFalse())
-	g.Expect(l.AllowRetry("s", now.Add(2*window))).To(BeTrue(), "after the window has passed")
+	g.Expect(l.AllowRetry("s")).To(BeFalse())
+	g.Expect(l.AllowRetry("other")).To(BeTrue(), "the extra retry")
+	g.Expect(l.AllowRetry("other")).To(BeFalse())
+	now += 2 * window
+	g.Expect(l.AllowRetry("s")).To(BeTrue(), "after the window has passed")
 }
--- a/internal/edge/proxy/budget_test.go
+++ b/internal/edge/proxy/budget_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
+	"github.com/jacinthstile/jacinthstile/internal/base/boottime"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 )
 
@@ -45,7 +46,7 @@
 	for range 4 * requests {
 		scripts = append(scripts, later)
 	}
-	h := newHarnessWithBudget(t, retrylimit.New(0, budget, 10*time.Second, tally.NoopScope), 2, scripts...)
+	h := newHarnessWithBudget(t, retrylimit.New(0, budget, 10*time.Second, boottime.Now, tally.NoopScope), 2, scripts...)
 	var served sync.WaitGroup
 	for range requests {
 		served.Go(func() { h.serveRequest(catalog.Idempotent, 3, false) })
@@ -69,7 +70,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			budget := retrylimit.New(1, 0, 10*time.Second, tally.NoopScope)
+			budget := retrylimit.New(1, 0, 10*time.Second, boottime.Now, tally.NoopScope)
 			h := newHarnessWithBudget(t, budget, 1, respond(200, "Signed: 1\r\n", "body"))
 			if c.cutOff {
 				h.cutOff(t, 1)
@@ -78,7 +79,7 @@
 			req.Relayed = c.relayed
 			g.Expect(h.proxy.Serve(context.Background(), req, httptest.NewRecorder())).To(Succeed())
 			recorded := 0
-			for budget.AllowRetry("s", time.Now()) {
+			for budget.AllowRetry("s") {
 				recorded++
 			}
 			g.Expect(recorded).To(Equal(c.want))
--- a/internal/edge/proxy/exchange.go
+++ b/internal/edge/proxy/exchange.go
@@ -93,7 +93,7 @@
 		}
 		defer func() { x.prepared.Ended() }()
 	}
-	x.retryBudget.RecordFirstAttempt(x.request.Service, time.Now())
+	x.retryBudget.RecordFirstAttempt(x.request.Service)
 	for {
 		retry, err := x.attempt(ctx)
 		if !retry {
@@ -240,11 +240,10 @@
 // may have run: a retry then needs a route that allows it and counts towards the
 // route's attempts. Every retry needs room in the retry budget.
 func (x *exchange) retryOrFail(reason string, ran bool) (bool, error) {
-	now := time.Now()
 	if ran && (x.prepared.Trial || !x.request.Route.Repeatable() || x.possibleRuns >= x.request.Route.Attempts) {
 		return false, fault.New(code.AnswerLost, "%s", reason)
 	}
-	allowed := x.sends < maxSends && x.retryBudget.AllowRetry(x.request.Service, now)
+	allowed := x.sends < maxSends && x.retryBudget.AllowRetry(x.request.Service)
 	if !allowed {
 		x.log.Info("not sent again", "request", x.request.ID, "reason", reason, "sends", x.sends)
 		if x.mayHaveRun {
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -25,6 +25,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/admission/quarantine"
 	"github.com/jacinthstile/jacinthstile/internal/admission/retrylimit"
+	"github.com/jacinthstile/jacinthstile/internal/base/boottime"
 	"github.com/jacinthstile/jacinthstile/internal/base/span"
 	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
 	"github.com/jacinthstile/jacinthstile/internal/edge/connpool"
@@ -189,7 +190,7 @@
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
-	return newHarnessWithBudget(t, retrylimit.New(0, 4, 10*time.Second, tally.NoopScope), endpoints, scripts...)
+	return newHarnessWithBudget(t, retrylimit.New(0, 4, 10*time.Second, boottime.Now, tally.NoopScope), endpoints, scripts...)
 }
 
 func newHarnessWithBudget(t *testing.T, budget *retrylimit.Limiter, endpoints int, scripts ...script) *harness {
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -166,7 +166,7 @@
 	}
 	x.mayHaveRun = true
 	x.possibleRuns++
-	again = x.mayRepeat() && (!x.answer.Begun() || x.request.Route.Resume && x.sequence.Resumable()) && x.retryBudget.AllowRetry(x.request.Service, time.Now())
+	again = x.mayRepeat() && (!x.answer.Begun() || x.request.Route.Resume && x.sequence.Resumable()) && x.retryBudget.AllowRetry(x.request.Service)
 	return again, fault.Wrap(code.AnswerLost, err, "served by another instance")
 }
 
@@ -182,14 +182,14 @@
 	if f.Code.Class() != class.NotRun {
 		x.mayHaveRun = true
 		x.possibleRuns++
-		return x.mayRepeat() && x.retryBudget.AllowRetry(x.request.Service, time.Now()), f
+		return x.mayRepeat() && x.retryBudget.AllowRetry(x.request.Service), f
 	}
 	if _, stopping := x.shutdown.Left(); stopping && f.Code == code.NoTime && f.RetryAfter == 0 {
 		f.RetryAfter = defaultRetryAfter // it had the time until this instance stops, which the caller may exceed
 	}
 	switch f.Code {
 	case code.NoEndpoint, code.EndpointRefused, code.NotReady, code.Overloaded, code.UnknownService, code.UnknownAccount:
-		again = x.retryBudget.AllowRetry(x.request.Service, time.Now())
+		again = x.retryBudget.AllowRetry(x.request.Service)
 	}
 	switch {
 	case x.mayHaveRun:
