Retry budget: requests that other instances serve count once, and take room

When paths to endpoints were cut, all requests in progress that may be repeated were sent to other instances at once, whatever the retry budget had left, and each instance that a request passed counted it as a first attempt of its own, which gave it room for more. Cause: relay was written as a way around a cut, not as a send. Now the instance that received a request from its caller records it, also when it is cut off from the start; one that serves it for another records nothing; and to send it on after a loss takes room, unless a send here had no connection and its room is left.

TestRequestsLostAtACutTakeRoomInTheRetryBudget (24 sends of 10 requests with a budget of 4) and TestRequestIsAFirstAttemptAtOneInstance failed before. After it they pass, as do TestCallersOfInstancesCutOffFromEndpointsAreServed (12 cases) and TestRepeatsStayWithinTheBudgetOfTheFleet.

--- a/internal/edge/proxy/exchange.go
+++ b/internal/edge/proxy/exchange.go
@@ -45,6 +45,7 @@
 	origin        origin.Origin      // of the events that the caller holds; zero if it holds none
 	began         *registry.Endpoint // wrote the first event that the caller got in this answer; nil if the caller held one already
 	bound         bool               // the caller holds events, so that only an endpoint of the origin may go on
+	recorded      bool               // whether the retry budget knows of the request
 	waiting       context.Context    // ends when the request may not be sent any more
 	awaitAll      func()             // lifts the limit that a stop of this instance sets to the time for the answer
 }
@@ -68,12 +69,13 @@
 		}
 	}
 	if x.isCutOff() {
+		x.recordFirstAttempt()
 		if done, err := x.relay(ctx); done {
 			return err
 		}
 	}
 	err := x.runHere(ctx)
-	if err != nil && x.mayRelay(ctx, err) {
+	if err != nil && x.mayRelay(ctx, err) && x.hasRoomToRelay() {
 		if done, relayErr := x.relay(ctx); done {
 			return relayErr
 		}
@@ -93,7 +95,7 @@
 		}
 		defer func() { x.prepared.Ended() }()
 	}
-	x.retryBudget.RecordFirstAttempt(x.request.Service)
+	x.recordFirstAttempt()
 	for {
 		retry, err := x.attempt(ctx)
 		if !retry {
@@ -102,6 +104,15 @@
 	}
 }
 
+// recordFirstAttempt records the first attempt of the request, unless it is recorded already, here or
+// by the instance that received it.
+func (x *exchange) recordFirstAttempt() {
+	if !x.recorded && !x.request.Relayed {
+		x.retryBudget.RecordFirstAttempt(x.request.Service)
+		x.recorded = true
+	}
+}
+
 // prepare has the inputs produced and an endpoint chosen, and ends the previous
 // preparation if there was one.
 func (x *exchange) prepare() error {
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -55,6 +55,13 @@
 	return x.unconnected+x.possibleRuns > 0 && !x.prepared.Trial && x.mayRepeat() && x.isCutOff()
 }
 
+// hasRoomToRelay reports whether the retry budget has room to have another instance serve the request, which
+// ended here. All sends here but the first took room; that of one without a connection is left, as it
+// reached nothing.
+func (x *exchange) hasRoomToRelay() bool {
+	return x.unconnected > 0 || x.retryBudget.AllowRetry(x.request.Service)
+}
+
 // mayRepeat reports whether the request may be sent again although it may have run.
 func (x *exchange) mayRepeat() bool {
 	return x.request.Route.Repeatable() && x.possibleRuns < x.request.Route.Attempts
