Retry budget: retries around a burst are held against the window with the fewest requests

At the end of a burst a service could get more repeats than the rule allows: the requests of a whole window of burst allowed retries that the rule counts in windows with a part of the burst. Cause: the limiter counted the first attempts of the last window; the rule looks at every window with these retries, and counts the requests of that one, the one before it, or the one half a window before it. Now the limiter takes the least of these over all windows that may hold a retry of now, in 20 slices. Under a steady load a twentieth of the share is not used.

TestRetriesAroundABurstStayWithinShare failed before (748 retries, 739 allowed, at one instance without the slack). A window of zero, the default of the setting, ended the process with a division by zero at the first request; it is counted in the least step of the clock now.

--- a/internal/admission/retrylimit/limiter.go
+++ b/internal/admission/retrylimit/limiter.go
@@ -11,13 +11,14 @@
 // This file defines Limiter.
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 )
 
-const slices = 10 // equal parts of the window, each counted on its own
+const slices = 20 // equal parts of the window, each counted on its own; even
 
 // Limiter counts the first attempts and retries to each service and decides
 // whether another retry is allowed. It is safe for concurrent use.
@@ -32,16 +33,38 @@
 	services map[string]*counts
 }
 
-// counts holds the attempts of one service by slice. It has one slice more than the window, because
-// the newest slice is still incomplete: all slices hold at least the retries of a window, and those
-// without the oldest at most its first attempts.
+// counts holds the attempts of one service by slice, those of slice n at n modulo the length.
 type counts struct {
-	slice         int64 // number of the newest slice
-	firstAttempts [slices + 1]int
-	retries       [slices + 1]int
+	slice         int64 // number of the newest slice, which is incomplete
+	firstAttempts [2 * slices]int
+	retries       [2 * slices]int
 	metrics       metrics
 }
 
+// sum returns the sum of the slices that are at least from and less than to slices old.
+func (c *counts) sum(attempts *[2 * slices]int, from, to int) (n int) {
+	for age := from; age < to; age++ {
+		n += attempts[(c.slice-int64(age))%(2*slices)]
+	}
+	return n
+}
+
+// requests returns the first attempts that the retries of a window count against: those of that window, of
+// the one before it, or of the one half a window before it, whichever has most. As a window with a retry of now
+// may have begun in any slice of the last window, the least of these numbers is returned. Slices that
+// are in part outside a window do not count.
+func (c *counts) requests() int {
+	least := math.MaxInt
+	for begin := range slices + 1 {
+		least = min(least, max(
+			c.sum(&c.firstAttempts, 0, begin),
+			c.sum(&c.firstAttempts, max(0, begin-slices/2+1), begin+slices/2),
+			c.sum(&c.firstAttempts, begin+1, begin+slices),
+		))
+	}
+	return least
+}
+
 // metrics are those of one service.
 type metrics struct {
 	allowed, refused tally.Counter
@@ -61,7 +84,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.advance(service)
-	c.firstAttempts[c.slice%(slices+1)]++
+	c.firstAttempts[c.slice%(2*slices)]++
 }
 
 // AllowRetry reports whether another retry to a service is allowed, and counts it if so.
@@ -69,20 +92,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.advance(service)
-	firstAttempts, retries := 0, 0
-	oldest := int((c.slice + 1) % (slices + 1))
-	for i := range c.firstAttempts {
-		if i != oldest {
-			firstAttempts += c.firstAttempts[i]
-		}
-		retries += c.retries[i]
-	}
-	budget := l.share*float64(firstAttempts) + float64(l.extra)
+	retries := c.sum(&c.retries, 0, slices+1) // the newest slice is incomplete, so that these hold a window
+	budget := l.share*float64(c.requests()) + float64(l.extra)
 	if float64(retries+1) > budget {
 		c.metrics.refused.Inc(1)
 		return false
 	}
-	c.retries[c.slice%(slices+1)]++
+	c.retries[c.slice%(2*slices)]++
 	c.metrics.allowed.Inc(1)
 	c.metrics.used.Update(float64(retries+1) / budget)
 	return true
@@ -91,19 +107,18 @@
 // advance returns the counts of a service after clearing the slices that have left
 // the window. The caller holds l.mu.
 func (l *Limiter) advance(service string) *counts {
-	slice := int64(l.clock() / (l.window / slices))
+	slice := 2*slices + int64(l.clock()/max(1, l.window/slices)) // slices before the first one have numbers too
 	c := l.services[service]
 	if c == nil {
 		scope := l.scope.Tagged(map[string]string{"service": service})
 		c = &counts{slice: slice, metrics: metrics{scope.Counter("retries"), scope.Counter("retries_refused"), scope.Gauge("retry_budget_used")}}
 		l.services[service] = c
 	}
-	for ; c.slice < slice; c.slice++ {
-		if slice-c.slice > slices+1 {
-			c.slice = slice - slices - 1
-		}
-		c.firstAttempts[(c.slice+1)%(slices+1)] = 0
-		c.retries[(c.slice+1)%(slices+1)] = 0
+	c.slice = max(c.slice, slice-2*slices)
+	for c.slice < slice {
+		c.slice++
+		c.firstAttempts[c.slice%(2*slices)] = 0
+		c.retries[c.slice%(2*slices)] = 0
 	}
 	return c
 }
--- a/internal/admission/retrylimit/limiter_test.go
+++ b/internal/admission/retrylimit/limiter_test.go
@@ -84,11 +84,53 @@
 	}
 }
 
+// TestRetriesAroundABurstStayWithinShare guards against retries that a burst of requests allows and that come together in a
+// window with few of its requests: everything fails from some moment of the burst, or after it, on. The retries of each window must
+// stay within the share of the requests of that window, of the one before it, or of the one half a window before it, whichever has most.
+func TestRetriesAroundABurstStayWithinShare(t *testing.T) {
+	const steps, perWindow, begin = 600, 100, 300
+	for length := 20; length <= 150; length += 26 {
+		for failed := begin; failed <= begin+length+50; failed += 13 {
+			now := time.Hour
+			l := retrylimit.New(share, 0, window, func() time.Duration { return now }, tally.NoopScope)
+			var requests, retries [steps]int
+			for step := range steps {
+				requests[step] = 5
+				if step >= begin && step < begin+length {
+					requests[step] = 50
+				}
+				for range requests[step] {
+					l.RecordFirstAttempt("s")
+				}
+				for step >= failed && l.AllowRetry("s") {
+					retries[step]++
+				}
+				now += window / perWindow
+			}
+			for from := perWindow; from+perWindow <= steps; from++ {
+				most := 0
+				for _, before := range []int{0, perWindow / 2, perWindow} {
+					most = max(most, sum(requests[from-before:from-before+perWindow]))
+				}
+				n := sum(retries[from : from+perWindow])
+				NewWithT(t).Expect(float64(n)).To(BeNumerically("<=", share*float64(most)), "burst of %d steps, failures from %d, window from %d", length, failed, from)
+			}
+		}
+	}
+}
+
+func sum(counts []int) (n int) {
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
 // TestServicesAreIndependent guards against retries to one service that use up the
 // limit of another.
 func TestServicesAreIndependent(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Hour
+	now := time.Duration(0) // the machine has just booted
 	l := retrylimit.New(share, 1, window, func() time.Duration { return now }, tally.NoopScope)
 	for range 10 {
 		l.RecordFirstAttempt("s")
