Retry budget: the instance that first sends a request to an endpoint records it

Streams whose instance has no path broke instead of going on: the instance that served them had no retries left. Cause: the instance that received a request recorded it, also if it was cut off, so that the room was where no retry is. Now the first instance that sends a request to an endpoint records it, and those that it passes later are told by a header, Jacinthstile-Recorded.

TestRequestIsAFirstAttemptAtOneInstance asks for the new place, with more cases: for each instance on the way it says whether it records and what it tells the next one. TestRelayedHeadersStay has the header.

--- a/internal/edge/protocol/codec.go
+++ b/internal/edge/protocol/codec.go
@@ -33,6 +33,7 @@
 	LastEventID string        // as in Attempt
 	Resumes     string        // id of the request that brought the first event; empty if none did
 	Runs        int           // sends after which the request may have run
+	Recorded    bool          // whether a retry budget has the request as a first attempt
 	Origin      origin.Origin // of the stream of which the caller holds events; unknown if it holds none
 }
 
--- a/internal/edge/proxy/exchange.go
+++ b/internal/edge/proxy/exchange.go
@@ -45,7 +45,7 @@
 	origin        origin.Origin      // of the events that the caller holds; zero if it holds none
 	began         *registry.Endpoint // wrote the first event that the caller got in this answer; nil if the caller held one already
 	bound         bool               // the caller holds events, so that only an endpoint of the origin may go on
-	recorded      bool               // whether the retry budget knows of the request
+	recorded      bool               // whether a retry budget has the request as a first attempt, here or at another instance
 	waiting       context.Context    // ends when the request may not be sent any more
 	awaitAll      func()             // lifts the limit that a stop of this instance sets to the time for the answer
 }
@@ -69,7 +69,6 @@
 		}
 	}
 	if x.isCutOff() {
-		x.recordFirstAttempt()
 		if done, err := x.relay(ctx); done {
 			return err
 		}
@@ -104,10 +103,9 @@
 	}
 }
 
-// recordFirstAttempt records the first attempt of the request, unless it is recorded already, here or
-// by the instance that received it.
+// recordFirstAttempt records the first attempt of the request, unless an instance has recorded it already.
 func (x *exchange) recordFirstAttempt() {
-	if !x.recorded && !x.request.Relayed {
+	if !x.recorded {
 		x.retryBudget.RecordFirstAttempt(x.request.Service)
 		x.recorded = true
 	}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	x := &exchange{
 		Proxy: p, request: req, answer: answer.New(w, p.codec.StripInternal), sequence: sequence.New(req.LastEventID),
-		blocks: promptBlocks(req.Prompt), possibleRuns: req.Runs, mayHaveRun: req.Runs > 0,
+		blocks: promptBlocks(req.Prompt), possibleRuns: req.Runs, mayHaveRun: req.Runs > 0, recorded: req.Recorded,
 	}
 	ctx, release := x.limit(ctx)
 	defer release()
--- a/internal/edge/proxy/relay.go
+++ b/internal/edge/proxy/relay.go
@@ -103,6 +103,7 @@
 	}
 	resp, err := x.pool.Send(ctx, x.relayRequest(address, left))
 	x.logRelay(address, left, resp, err)
+	x.recorded = x.recorded || failure.KindOf(err) != failure.Unsent // that instance records it, if it sends it to an endpoint
 	if err != nil {
 		return x.handleRelayError(ctx, address, err)
 	}
@@ -138,7 +139,7 @@
 // goes on after the last of them.
 func (x *exchange) relayRequest(address string, left time.Duration) *connpool.Request {
 	req := x.request
-	a := protocol.RelayAttempt{TimeLeft: left, Runs: x.possibleRuns, LastEventID: x.sequence.Last(), Resumes: req.Resumes, Origin: x.origin}
+	a := protocol.RelayAttempt{TimeLeft: left, Runs: x.possibleRuns, Recorded: x.recorded, LastEventID: x.sequence.Last(), Resumes: req.Resumes, Origin: x.origin}
 	if x.sequence.Events() > 0 && a.Resumes == "" {
 		a.Resumes = req.ID
 	}
--- a/internal/edge/request/request.go
+++ b/internal/edge/request/request.go
@@ -37,6 +37,7 @@
 	CallerHeader http.Header // all headers as received; another instance that serves the request gets them
 	Relayed      bool        // another instance received the request, and has it served here
 	Runs         int         // of the endpoints that may have run it there
+	Recorded     bool        // whether the retry budget of that instance, or of one that it asked before, has it as a first attempt
 
 	Origin origin.Origin // of the stream that the request takes up, as the instance that received it told; unknown if it told none
 
