Watcher: news of another instance end a watch that waits in silence

Cause, second part: a follower whose leader has confirmed nothing for 1.5 s watches the store itself, on a connection that went silent too, and waits there for 2.1 s. Meanwhile its leader has noticed, reads the store again and reports the new version, but the follower looks at reports only between two calls.

A watch whose answer has not begun now ends when a report names something newer than is applied here.

--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -21,7 +21,10 @@
 	window   time.Duration
 	minBytes int
 
+	cancel context.CancelCauseFunc
+
 	mu    sync.Mutex
+	begun bool // Reader was called
 	timer *time.Timer
 	bytes int // since the timer was set
 }
@@ -32,7 +35,7 @@
 // must be called when the transfer is over.
 func New(ctx context.Context, begin, window time.Duration, minBytes int) (context.Context, *Guard, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	g := &Guard{window: window, minBytes: minBytes}
+	g := &Guard{window: window, minBytes: minBytes, cancel: cancel}
 	g.timer = time.AfterFunc(begin, func() { cancel(ErrStalled) })
 	return ctx, g, func() {
 		g.timer.Stop()
@@ -44,10 +47,20 @@
 func (g *Guard) Reader(r io.Reader) io.Reader {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.begun = true
 	g.restart()
 	return &reader{guard: g, from: r}
 }
 
+// Abandon ends the context with the given cause, unless the transfer has begun.
+func (g *Guard) Abandon(cause error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.begun {
+		g.cancel(cause)
+	}
+}
+
 // restart begins a new window, unless the time of the last one is over. The caller holds the lock.
 func (g *Guard) restart() {
 	if g.timer.Stop() {
--- a/internal/edge/watcher/source.go
+++ b/internal/edge/watcher/source.go
@@ -23,6 +23,9 @@
 // may have. A list comes in pages.
 var ErrTooLong = errors.New("the changes are too long for one answer")
 
+// ErrSuperseded is returned by Source.Watch if the caller no longer wanted an answer before one had begun.
+var ErrSuperseded = errors.New("the watch is superseded")
+
 // Source is a store that can be listed and watched, but not written.
 type Source interface {
 	// List returns all entries of the store as changes, and the position from
@@ -35,8 +38,9 @@
 	// within wait, it returns no changes. It returns ErrCompacted if the store no
 	// longer holds all changes after the position, and ErrNewEra if the position
 	// is of an earlier era, or ErrTooLong; the caller must then call List. It gives up early on a
-	// store that does not answer, but not on a large answer that progresses.
-	Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error)
+	// store that does not answer, but not on a large answer that progresses. It returns ErrSuperseded
+	// if superseded is closed before an answer begins.
+	Watch(ctx context.Context, superseded <-chan struct{}, after position.Position, wait time.Duration) ([]change.Change, position.Position, error)
 	// NewestEra returns the newest era that any answer of the store has shown,
 	// also one that refused a call. Answers of an earlier era are errors.
 	NewestEra() uint64
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,7 @@
 	position         position.Position // all changes up to this position are applied
 	status           atomic.Pointer[Status]
 	listed           bool            // whether position is based on a complete list
+	superseded       bool            // whether the last watch ended for news of another instance; the next one has a new connection
 	reportedEra      uint64          // newest era that another instance had reported at the last list
 	verdict          restore.Verdict // of the last answer of the store
 	restoredAt       time.Duration   // when this instance itself saw the store come back from a copy; zero if it did not
@@ -184,6 +186,10 @@
 		return nil
 	}
 	err := w.watch(ctx, wait, interval)
+	if w.superseded {
+		w.log.Info("watch ended, another instance knows more", "position", w.position.String())
+		return nil
+	}
 	if needsList(err) {
 		w.log.Info("changes lost, listing again", "position", w.position.String(), "reason", err.Error())
 		w.listed = false
@@ -285,7 +291,14 @@
 	defer cancel()
 	confirmed := w.freshness.Now()
 	w.lastWatch = confirmed
-	changes, at, err := w.source.Watch(ctx, w.position, wait)
+	var news <-chan struct{}
+	if wait > probeWait && !w.superseded { // else the call was made because of the news
+		var stop func()
+		news, stop = w.awaitNews(ctx)
+		defer stop()
+	}
+	changes, at, err := w.source.Watch(ctx, news, w.position, wait)
+	w.superseded = errors.Is(err, ErrSuperseded)
 	if err != nil {
 		return err
 	}
@@ -303,6 +316,36 @@
 	return nil
 }
 
+// awaitNews returns a channel that is closed when another instance reports something newer than is applied here. The returned
+// function ends that.
+func (w *Watcher) awaitNews(ctx context.Context) (<-chan struct{}, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	applied, version := w.position, w.version
+	isNews := func() bool {
+		report, ok := w.peer.Get()
+		return ok && report.Position.Era == applied.Era && (applied.Before(report.Position) || report.Version > version)
+	}
+	news := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-w.peer.Updated():
+				if isNews() {
+					close(news)
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return news, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // applyAll applies the changes that lead to a position of the same era, and updates
 // the registry once for all of them.
 func (w *Watcher) applyAll(changes []change.Change, to position.Position) {
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -133,17 +133,19 @@
 }
 
 // giveUp waits until a call without an answer is given up.
-func giveUp(ctx context.Context, after time.Duration) error {
+func giveUp(ctx context.Context, superseded <-chan struct{}, after time.Duration) error {
 	select {
 	case <-time.After(after):
 		return errSilent
+	case <-superseded:
+		return watcher.ErrSuperseded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
 // enter counts a call, which may wait for a time, and takes it through the state of the store.
-func (s *store) enter(ctx context.Context, wait time.Duration) error {
+func (s *store) enter(ctx context.Context, superseded <-chan struct{}, wait time.Duration) error {
 	s.calls.Add(1)
 	s.mu.Lock()
 	st := s.state
@@ -152,7 +154,7 @@
 	case down:
 		return errDown
 	case unresponsive:
-		return giveUp(ctx, wait+answerMargin)
+		return giveUp(ctx, superseded, wait+answerMargin)
 	default:
 		time.Sleep(4 * time.Millisecond)
 		return nil
@@ -160,7 +162,7 @@
 }
 
 func (s *store) List(ctx context.Context) ([]change.Change, position.Position, error) {
-	if err := s.enter(ctx, 0); err != nil {
+	if err := s.enter(ctx, nil, 0); err != nil {
 		return nil, position.Position{}, err
 	}
 	s.mu.Lock()
@@ -187,8 +189,8 @@
 	return list, s.at(), nil
 }
 
-func (s *store) Watch(ctx context.Context, after position.Position, wait time.Duration) ([]change.Change, position.Position, error) {
-	if err := s.enter(ctx, wait); err != nil {
+func (s *store) Watch(ctx context.Context, superseded <-chan struct{}, after position.Position, wait time.Duration) ([]change.Change, position.Position, error) {
+	if err := s.enter(ctx, superseded, wait); err != nil {
 		return nil, position.Position{}, err
 	}
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
@@ -204,7 +206,7 @@
 		case st == overlong:
 			return nil, at, watcher.ErrTooLong
 		case st == unresponsive:
-			return nil, at, giveUp(ctx, time.Until(end)+answerMargin)
+			return nil, at, giveUp(ctx, superseded, time.Until(end)+answerMargin)
 		case st == down:
 			return nil, at, errDown
 		case at.Era != after.Era:
@@ -607,6 +609,42 @@
 	})
 }
 
+// TestReportedNewsEndAWatch guards against an old manifest in force while a watch waits on a connection that went silent,
+// although another instance reports a newer version. A report without news ends no watch.
+func TestReportedNewsEndAWatch(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		for before := h.store.calls.Load(); h.store.calls.Load() == before; { // until a watch begins
+			time.Sleep(5 * time.Millisecond)
+		}
+		h.store.set(unresponsive)
+		time.Sleep(10 * time.Millisecond) // the watch has noticed
+		h.store.set(healthy)
+		during := h.store.calls.Load()
+		h.peer.Set(peerstatus.Report{Position: revision(0), Version: 1, ConfirmedAt: h.freshness.Now()})
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(h.store.calls.Load()).To(Equal(during), "calls after a report without news")
+		h.store.publish(2)
+		h.peer.Set(peerstatus.Report{Position: revision(1), Version: 2, ConfirmedAt: h.freshness.Now()})
+		time.Sleep(500 * time.Millisecond) // with the least time between two watches
+		g.Expect(h.version.Load()).To(Equal(uint64(2)))
+		g.Expect(h.store.calls.Load()).To(BeNumerically("<=", during+2))
+	})
+}
+
+// TestSuccessiveNewsEndFewWatches guards against a watch that is begun again for each piece of news, so that none gets an answer
+// from a slow store.
+func TestSuccessiveNewsEndFewWatches(t *testing.T) {
+	run(t, func(g *WithT, h *harness) {
+		h.store.set(unresponsive)
+		before := h.store.calls.Load()
+		for i := range uint64(40) {
+			h.peer.Set(peerstatus.Report{Position: revision(i), ConfirmedAt: h.freshness.Now() - revoke})
+			time.Sleep(300 * time.Millisecond)
+		}
+		g.Expect(h.store.calls.Load()-before).To(BeNumerically("<=", 8), "calls in 12 s")
+	})
+}
+
 // TestOldReportsDoNotConfirm guards against trusting a configuration that nobody
 // has confirmed: neither this instance nor the reporting one reaches the store, and
 // the reports repeat an old confirmation.
