--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -20,8 +20,7 @@
 type Guard struct {
 	window   time.Duration
 	minBytes int
-
-	cancel context.CancelCauseFunc
+	cancel   context.CancelCauseFunc
 
 	mu    sync.Mutex
 	begun bool // Reader was called
--- a/internal/base/webserver/conn.go
+++ b/internal/base/webserver/conn.go
@@ -78,7 +78,7 @@
 	accepted time.Time
 	used     atomic.Bool // bytes were read
 	cipher   atomic.Bool // the bytes are encrypted
-	unread   bool        // the handler has not read the whole body; of the goroutine that serves the connection
+	unread   bool        // the handler has not read the whole body; used only by the goroutine that serves the connection
 
 	mu         sync.Mutex
 	head       bool      // what comes is part of a head
