--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -186,10 +186,6 @@
 		return nil
 	}
 	err := w.watch(ctx, wait, interval)
-	if w.superseded {
-		w.log.Info("watch ended, another instance knows more", "position", w.position.String())
-		return nil
-	}
 	if needsList(err) {
 		w.log.Info("changes lost, listing again", "position", w.position.String(), "reason", err.Error())
 		w.listed = false
@@ -299,7 +295,11 @@
 	}
 	changes, at, err := w.source.Watch(ctx, news, w.position, wait)
 	w.superseded = errors.Is(err, ErrSuperseded)
-	if err != nil {
+	switch {
+	case w.superseded:
+		w.log.Info("watch ended, another instance knows more", "position", w.position.String())
+		return nil
+	case err != nil:
 		return err
 	}
 	w.setReachable("it answered")
