Watcher: a failed call to the store is no outage in which registrations expire

Cause: any failed call counted as an outage. For 2.2 s after it a missing registration was taken for one that had expired for want of the store, and the end of that time was noticed only at the next answer of the store. The log shows it: "store reached again" after 0.1 s, then "endpoint unregistered" with gone=false.

An outage is now the time for which the store is not known to have answered any instance. One that is shorter than two heartbeats makes no registration expire, as three have to be missed. Watches end when lapsed endpoints expire, and an instance whose reports have ended asks the store at once.

--- a/internal/edge/notice/recorder_test.go
+++ b/internal/edge/notice/recorder_test.go
@@ -32,7 +32,7 @@
 		instances := make([]*notice.Recorder, 2)
 		indexes := make([]*registry.Index, 2)
 		for i := range instances {
-			r := registry.New(func(all []*registry.Endpoint) { indexes[i] = registry.NewIndex(all) })
+			r := registry.New(time.Second, func(all []*registry.Endpoint) { indexes[i] = registry.NewIndex(all) })
 			r.Put(e, time.Now())
 			instances[i] = notice.New(r, cooldown.New(), ratelimit.New(), warmup.New(ratelimit.New(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, brittle.New(), logr.Discard(), tally.NoopScope)
 		}
@@ -57,7 +57,7 @@
 // TestLearnIsBounded guards against a message that fills the memory.
 func TestLearnIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	r := notice.New(registry.New(func([]*registry.Endpoint) {}), cooldown.New(), ratelimit.New(), warmup.New(ratelimit.New(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, brittle.New(), logr.Discard(), tally.NoopScope)
+	r := notice.New(registry.New(time.Second, func([]*registry.Endpoint) {}), cooldown.New(), ratelimit.New(), warmup.New(ratelimit.New(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, brittle.New(), logr.Discard(), tally.NoopScope)
 	names := []string{"", strings.Repeat("x", 1<<20)}
 	for i := range 1000 {
 		names = append(names, fmt.Sprint("e", i, "@1"))
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -201,7 +201,7 @@
 	tables := holder.New()
 	publisher := endpointtable.New(tables, policy.Policy{Attainment: 1, MaxEjected: 0.3, Ticket: span.Span(time.Second), Seats: 1}, "a", 0)
 	var index *registry.Index
-	f := registry.New(func(all []*registry.Endpoint) {
+	f := registry.New(time.Second, func(all []*registry.Endpoint) {
 		index = registry.NewIndex(all)
 		h.versions.Observe(all, time.Now())
 		h.g.Expect(publisher.Publish(all)).To(gomega.Succeed())
--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -22,14 +22,19 @@
 // live endpoints register again within about 2 s.
 const ReregisterTimeout = 2200 * time.Millisecond
 
+// missedHeartbeats is the number of renewals that an endpoint must fail to make before its registration expires.
+const missedHeartbeats = 3
+
 // Registry holds the registered endpoints and calls a function with all of them
 // after each change. It is safe for concurrent use.
 type Registry struct {
+	heartbeat time.Duration // interval at which endpoints renew their registrations
+
 	mu          sync.Mutex
 	endpoints   map[string]*Endpoint // by id; values are immutable
 	lapsed      map[string]time.Time // when the registration of a lapsed endpoint went missing, by id
 	unreachable bool                 // whether the store is unreachable
-	reachedAt   time.Time            // end of the last outage of the store; zero if there was none
+	reachedAt   time.Time            // end of the last outage in which registrations may have expired; zero if there was none
 	departed    departures
 	hidden      map[string]Endpoint // registrations in a copy of the store that had been removed, by id
 	drained     map[string]bool     // drained data centres
@@ -38,11 +43,13 @@
 	pending     bool // whether a delayed call is due
 }
 
-// New returns an empty registry. It calls onChange with all endpoints, sorted by id,
-// after each change, or once at the release of Hold. It holds a lock during the
-// call, so onChange must not call methods of the registry.
-func New(onChange func([]*Endpoint)) *Registry {
+// New returns an empty registry of endpoints that renew their registrations at the interval
+// heartbeat; if it is zero, registrations may expire in any outage. It calls onChange with
+// all endpoints, sorted by id, after each change, or once at the release of Hold. It holds
+// a lock during the call, so onChange must not call methods of the registry.
+func New(heartbeat time.Duration, onChange func([]*Endpoint)) *Registry {
 	return &Registry{
+		heartbeat: heartbeat,
 		endpoints: make(map[string]*Endpoint), lapsed: make(map[string]time.Time), departed: newDepartures(),
 		hidden: make(map[string]Endpoint), onChange: onChange,
 	}
@@ -129,8 +136,9 @@
 }
 
 // Remove records that a registration is missing, and reports whether the endpoint
-// was removed. While the store is unreachable, and for ReregisterTimeout after
-// that, an endpoint that was not draining is kept as Lapsed instead.
+// was removed. While the store is unreachable, and for ReregisterTimeout after an
+// outage in which registrations may have expired, an endpoint that was not draining
+// is kept as Lapsed instead.
 func (r *Registry) Remove(id string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -218,21 +226,40 @@
 	r.publish()
 }
 
-// SetUnreachable records that the store is unreachable.
+// SetUnreachable records that the store is unreachable. No endpoint expires until it is reachable.
 func (r *Registry) SetUnreachable() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unreachable = true
 }
 
-// SetReachable records that the store is reachable again.
-func (r *Registry) SetReachable(now time.Time) {
+// SetReachable records that the store is reachable again after an outage of at most the given
+// time: it answered some instance before and after it. It reports whether registrations may
+// have expired in the outage. A failed call alone is no reason to assume that, as the store
+// may cut a watch or limit the rate of calls at any time.
+func (r *Registry) SetReachable(outage time.Duration, now time.Time) (mayHaveExpired bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.unreachable {
+		return false
+	}
+	r.unreachable = false
+	if outage < (missedHeartbeats-1)*r.heartbeat {
+		return false
+	}
+	r.reachedAt = now
+	return true
+}
+
+// UntilExpiry returns the time until RemoveExpired is to be called, and false if no endpoint
+// is Lapsed or the store is unreachable.
+func (r *Registry) UntilExpiry(now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unreachable {
-		r.unreachable = false
-		r.reachedAt = now
+	if len(r.lapsed) == 0 || r.unreachable {
+		return 0, false
 	}
+	return max(0, r.reachedAt.Add(ReregisterTimeout).Sub(now)), true
 }
 
 // RemoveExpired removes the lapsed endpoints that did not register again within
--- a/internal/edge/registry/registry_test.go
+++ b/internal/edge/registry/registry_test.go
@@ -11,6 +11,8 @@
 	"github.com/jacinthstile/jacinthstile/internal/edge/registry"
 )
 
+const heartbeat = 1200 * time.Millisecond
+
 var start = time.Unix(1000, 0)
 
 // updates records the calls of onChange.
@@ -21,7 +23,7 @@
 
 func newRegistry() (*registry.Registry, *updates) {
 	s := new(updates)
-	return registry.New(func(all []*registry.Endpoint) {
+	return registry.New(heartbeat, func(all []*registry.Endpoint) {
 		s.calls++
 		s.last = make(map[string]registry.State)
 		for _, e := range all {
@@ -67,9 +69,12 @@
 	g.Expect(r.Remove("b", start)).To(BeFalse(), "the registration may have expired because of the outage")
 	g.Expect(r.Remove("c", start)).To(BeFalse())
 	g.Expect(s.last).To(Equal(map[string]registry.State{"b": registry.Lapsed, "c": registry.Lapsed, "d": registry.Ready}))
-	r.SetReachable(start)
+	g.Expect(r.SetReachable(2*heartbeat, start)).To(BeTrue())
 	r.Put(ready("b"), start)
 	g.Expect(r.RemoveExpired(start.Add(registry.ReregisterTimeout/2))).To(BeEmpty(), "c may still register again")
+	r.SetUnreachable()
+	g.Expect(r.RemoveExpired(start.Add(registry.ReregisterTimeout))).To(BeEmpty(), "the store is unreachable again")
+	g.Expect(r.SetReachable(2*heartbeat-1, start.Add(registry.ReregisterTimeout))).To(BeFalse(), "no endpoint misses three renewals in this time")
 	g.Expect(r.RemoveExpired(start.Add(registry.ReregisterTimeout))).To(Equal([]string{"c"}))
 	g.Expect(s.last).To(Equal(map[string]registry.State{"b": registry.Ready, "d": registry.Ready}))
 	g.Expect(r.Remove("d", start.Add(registry.ReregisterTimeout))).To(BeTrue())
@@ -142,7 +147,7 @@
 func TestNamesAreKept(t *testing.T) {
 	g := NewWithT(t)
 	var all []*registry.Endpoint
-	r := registry.New(func(list []*registry.Endpoint) { all = list })
+	r := registry.New(heartbeat, func(list []*registry.Endpoint) { all = list })
 	r.Put(registry.Endpoint{ID: "e", StartTime: 1}, time.Now())
 	g.Expect(testing.AllocsPerRun(10, func() { all[0].Name() })).To(BeZero())
 	again := *all[0]
@@ -156,7 +161,7 @@
 func TestDrainedCentresAcceptNoWork(t *testing.T) {
 	g := NewWithT(t)
 	var index *registry.Index
-	r := registry.New(func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
+	r := registry.New(heartbeat, func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
 	put := func(id, service, centre string, state registry.State) {
 		r.Put(registry.Endpoint{ID: id, Service: service, Centre: centre, State: state}, start)
 	}
--- a/internal/edge/watcher/era_test.go
+++ b/internal/edge/watcher/era_test.go
@@ -118,7 +118,7 @@
 		began := time.Now()
 		tracker := freshness.New(func() time.Duration { return time.Since(began) + time.Hour })
 		peer := peerstatus.New()
-		w := watcher.New(s, peer, tracker, registry.New(func([]*registry.Endpoint) {}), versionset.New(), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
+		w := watcher.New(s, peer, tracker, registry.New(heartbeat, func([]*registry.Endpoint) {}), versionset.New(), func(*catalog.Catalog) {}, logr.Discard(), tally.NoopScope)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -38,7 +38,7 @@
 	// the configuration is current, and several answers fit in the time within
 	// which a revoked API key must stop working.
 	watchWait = 1200 * time.Millisecond
-	probeWait = time.Millisecond // wait of the first watch after a failure, which thus confirms the state at once
+	probeWait = time.Millisecond // wait of the first watch after a failure or after reports have ended, which thus confirms the state at once
 	// callTimeout is the limit for all pages of a list, and for a watch. It allows for many
 	// instances that list thousands of endpoints at the same moment, over the link of one
 	// store, and for a large catalog over a slow link; the Source gives up earlier on an
@@ -83,6 +83,7 @@
 	drained   tally.Gauge   // number of drained data centres
 
 	lastWatch        time.Duration     // start of the last watch, by the clock of freshness
+	answeredAt       time.Duration     // when the store last answered this or another instance, by the same clock; zero if it did not
 	version          uint64            // version of the catalog in force
 	position         position.Position // all changes up to this position are applied
 	status           atomic.Pointer[Status]
@@ -170,7 +171,7 @@
 	case !ok || w.freshness.Now()-report.ConfirmedAt > maxReportAge:
 	case report.Position.Era != w.position.Era: // one of the two instances has not listed the newer era yet
 	case w.position.Before(report.Position) && report.Complete && !report.DrainedUnknown && report.After.Compare(w.position) <= 0:
-		w.setReachable("another instance told the changes")
+		w.setReachable("another instance told the changes", report.ConfirmedAt)
 		w.applyAll(report.Changes, report.Position)
 		if report.Version <= w.version { // a newer one comes with a watch
 			w.confirm(report.ConfirmedAt, report.Version)
@@ -180,7 +181,7 @@
 		wait, interval = probeWait, reportedWatchInterval // the store already has the change
 	case report.Version > w.version: // the store may have lost this version
 	default:
-		w.setReachable("another instance knows that nothing changed")
+		w.setReachable("another instance knows that nothing changed", report.ConfirmedAt)
 		w.confirm(report.ConfirmedAt, report.Version)
 		w.awaitReport(ctx)
 		return nil
@@ -200,9 +201,9 @@
 }
 
 // awaitReport waits for the next report of another instance, at most until the
-// latest one is too old.
+// latest one is too old or an endpoint expires.
 func (w *Watcher) awaitReport(ctx context.Context) {
-	timer := time.NewTimer(maxReportAge)
+	timer := time.NewTimer(w.untilExpiry(maxReportAge))
 	defer timer.Stop()
 	select {
 	case <-w.peer.Updated():
@@ -223,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	w.setReachable("it answered")
+	w.setReachable("it answered", w.freshness.Now())
 	w.versions.Restart(startTime)
 	first := !w.position.Known()
 	endpoints := w.applyList(changes, at, !first && at.Era > w.position.Era)
@@ -277,12 +278,13 @@
 	switch left := w.freshness.UntilExpected(); {
 	case newest > w.version:
 		wait, interval = probeWait, reportedWatchInterval
-	case w.unreachable || !known && left == 0:
+	case w.unreachable || !known && left == 0 || w.freshness.Now()-w.answeredAt > maxReportAge:
 		wait = probeWait
 	case left > 0:
 		wait = min(wait, max(left, probeWait)) // the first answer that counts comes as soon as it can
 	}
 	pause.For(ctx, w.lastWatch+interval-w.freshness.Now())
+	wait = max(w.untilExpiry(wait), probeWait)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	confirmed := w.freshness.Now()
@@ -302,7 +304,7 @@
 	case err != nil:
 		return err
 	}
-	w.setReachable("it answered")
+	w.setReachable("it answered", w.freshness.Now())
 	w.applyAll(changes, at)
 	// An answer without changes was sent after the wait, so it confirms the state
 	// at that time and not only at the start of the call.
@@ -379,15 +381,25 @@
 	w.log.Error(err, "store out of reach", "proof", age.String())
 }
 
-// setReachable records that the state is confirmed again after a failed call, by an
-// answer of the store or by a report. The log line gives the reason.
-func (w *Watcher) setReachable(reason string) {
+// setReachable records that the store answered this or another instance at the given time. If
+// calls have failed, the state is confirmed again; the log line gives the reason.
+func (w *Watcher) setReachable(reason string, answeredAt time.Duration) {
+	outage := answeredAt - w.answeredAt
+	w.answeredAt = max(w.answeredAt, answeredAt)
 	if !w.unreachable {
 		return
 	}
 	w.unreachable = false
-	w.registry.SetReachable(time.Now())
-	w.log.Info("store reached again", "ground", reason, "after", time.Since(w.unreachableSince).String())
+	expired := w.registry.SetReachable(outage, time.Now())
+	w.log.Info("store reached again", "ground", reason, "after", time.Since(w.unreachableSince).String(), "outage", outage.String(), "registrations may have expired", expired)
+}
+
+// untilExpiry returns the time until an endpoint expires, or limit if that is shorter.
+func (w *Watcher) untilExpiry(limit time.Duration) time.Duration {
+	if left, ok := w.registry.UntilExpiry(time.Now()); ok {
+		return min(limit, left)
+	}
+	return limit
 }
 
 // removeExpired removes the endpoints that did not register again after an outage
--- a/internal/edge/watcher/watcher_test.go
+++ b/internal/edge/watcher/watcher_test.go
@@ -262,7 +262,7 @@
 		start := time.Now()
 		h := &harness{store: &store{version: 1, ready: map[string]bool{"a": true, "b": true}}, peer: peerstatus.New(), versions: versionset.New()}
 		h.freshness = freshness.New(func() time.Duration { return time.Since(start) + time.Hour })
-		endpoints := registry.New(func(all []*registry.Endpoint) {
+		endpoints := registry.New(heartbeat, func(all []*registry.Endpoint) {
 			h.index.Store(registry.NewIndex(all))
 			h.versions.Observe(all, time.Now())
 			h.updates.Add(1)
@@ -286,7 +286,10 @@
 	})
 }
 
-const revoke = 5 * time.Second // time within which a revoked API key must stop working
+const (
+	revoke    = 5 * time.Second         // time within which a revoked API key must stop working
+	heartbeat = 1200 * time.Millisecond // interval at which endpoints renew their registrations
+)
 
 // TestIdleStoreIsPolledSeldom guards against confirmations that get too old while
 // nothing changes, and against more than one call to the store a second.
@@ -354,6 +357,78 @@
 	}
 }
 
+// TestMissingRegistrations guards against work for an endpoint that left, as a call to the store had failed shortly before its
+// registration was removed, and against dropping live endpoints whose registrations expired while the store was away.
+func TestMissingRegistrations(t *testing.T) {
+	const (
+		noticed  = 300 * time.Millisecond  // after which a change is known while the store answers
+		returned = 1500 * time.Millisecond // after which the end of an outage is known
+	)
+	outage := func(st state, length time.Duration, during func(*harness)) func(*harness) {
+		return func(h *harness) {
+			h.store.set(st)
+			time.Sleep(length)
+			during(h)
+			h.store.set(healthy)
+		}
+	}
+	nothing := func(*harness) {}
+	cut := outage(down, 20*time.Millisecond, nothing)
+	leave := func(h *harness) { h.store.register("b", false) }
+	tell := func(h *harness) {
+		h.peer.Set(peerstatus.Report{Position: revision(1), After: revision(0), Complete: true, ConfirmedAt: h.freshness.Now(), Changes: []change.Change{change.Unregistered{ID: "b"}}})
+	}
+	for name, c := range map[string]struct {
+		trouble func(*harness)
+		remove  func(*harness) // removes the registration of b after the trouble; nil if it expired in it
+	}{
+		"nothing happened":           {nothing, leave},
+		"a watch was cut":            {cut, leave},
+		"calls were refused for 1 s": {outage(down, time.Second, nothing), leave},
+		"answers were lost for 1 s":  {outage(unresponsive, time.Second, nothing), leave},
+		"watches were cut again and again": {func(h *harness) {
+			for range 20 {
+				cut(h)
+				time.Sleep(180 * time.Millisecond)
+			}
+		}, leave},
+		"refused to this instance alone": {func(h *harness) {
+			h.store.set(down)
+			h.reportUnchanged(20)
+		}, tell},
+		"a watch was cut between two reports": {func(h *harness) {
+			h.reportUnchanged(10)
+			time.Sleep(3200 * time.Millisecond) // the last report is too old, so a watch has begun
+			cut(h)
+			h.reportUnchanged(1)
+		}, tell},
+		"the store was away for 4 s":   {outage(down, 4*time.Second, leave), nil},
+		"the store was silent for 4 s": {outage(unresponsive, 4*time.Second, leave), nil},
+		"a watch was cut after an outage": {func(h *harness) {
+			outage(down, 4*time.Second, leave)(h)
+			time.Sleep(noticed)
+			cut(h)
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(g *WithT, h *harness) {
+				c.trouble(h)
+				if c.remove == nil {
+					time.Sleep(returned)
+					g.Expect(h.accepts("b")).To(BeTrue(), "the registration may have expired for want of the store")
+					time.Sleep(registry.ReregisterTimeout)
+				} else {
+					time.Sleep(noticed)
+					c.remove(h)
+					time.Sleep(noticed)
+				}
+				g.Expect(h.accepts("b")).To(BeFalse(), "the endpoint left, or did not register again")
+				g.Expect(h.accepts("a")).To(BeTrue())
+			})
+		})
+	}
+}
+
 // TestCompactionCausesList guards against missed changes when the store no longer
 // has the changes after the known revision: it must be listed again.
 func TestCompactionCausesList(t *testing.T) {
--- a/internal/routing/cacheaware/candidates_test.go
+++ b/internal/routing/cacheaware/candidates_test.go
@@ -19,7 +19,7 @@
 // newFleet returns engines in ten data centres. Names are known, as those in the registry are.
 func newFleet(n int) []*registry.Endpoint {
 	var fleet []*registry.Endpoint
-	reg := registry.New(func(list []*registry.Endpoint) { fleet = list })
+	reg := registry.New(time.Second, func(list []*registry.Endpoint) { fleet = list })
 	list := make([]registry.Endpoint, n)
 	for i := range list {
 		id := fmt.Sprintf("e%04d", i)
--- a/internal/stage/batcher/bench_test.go
+++ b/internal/stage/batcher/bench_test.go
@@ -39,7 +39,7 @@
 func BenchmarkSubmit(b *testing.B) {
 	cat := &catalog.Catalog{Services: make(map[string]*catalog.Service)}
 	var index *registry.Index
-	known := registry.New(func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
+	known := registry.New(time.Second, func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
 	var all []registry.Endpoint
 	stages := []catalog.Stage{{Service: "first", Bytes: 8000}, {Service: "second", After: []int{0}, Bytes: 60_000}, {Service: "third", After: []int{1}, Bytes: 6000}}
 	for _, s := range stages {
--- a/internal/stage/coordinator/bench_test.go
+++ b/internal/stage/coordinator/bench_test.go
@@ -50,7 +50,7 @@
 func newBenchCoordinator() *coordinator.Coordinator {
 	cat := &catalog.Catalog{Services: map[string]*catalog.Service{"llm": {Name: "llm", Engine: &catalog.Engine{Slots: 24, Tokens: 500_000}}}}
 	var index *registry.Index
-	known := registry.New(func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
+	known := registry.New(time.Second, func(all []*registry.Endpoint) { index = registry.NewIndex(all) })
 	var all []registry.Endpoint
 	for service, n := range map[string]int{"first": 36, "second": 42, "third": 42, "llm": 90} {
 		if service != "llm" {
--- a/internal/stage/forwarder/forwarder_test.go
+++ b/internal/stage/forwarder/forwarder_test.go
@@ -191,7 +191,7 @@
 	current.Confirm(current.Now())
 	candidate := election.Candidate{Address: in.address, MilliCPU: cpu, StartTime: c.started, Started: time.Now()}
 	in.history, in.peerStatus = history.New(), peerstatus.New()
-	in.registry = registry.New(func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
+	in.registry = registry.New(time.Second, func(all []*registry.Endpoint) { in.index.Store(registry.NewIndex(all)) })
 	in.registry.Put(registry.Endpoint{ID: "e1", StartTime: 3, Service: "llm", State: registry.Ready}, time.Now())
 	in.notices = notice.New(in.registry, cooldown.New(), in.limits, warmup.New(in.limits, warmup.Allowance{}), pace.New(), in.starts, false, brittle.New(), logr.Discard(), tally.NoopScope)
 	in.history.Reset(at(1))
--- a/internal/stage/forwarder/overload_test.go
+++ b/internal/stage/forwarder/overload_test.go
@@ -53,7 +53,7 @@
 func newLargeCluster() *cluster {
 	var services []*catalog.Service
 	c := &cluster{patient: true}
-	known := registry.New(func(all []*registry.Endpoint) { c.index = registry.NewIndex(all) })
+	known := registry.New(time.Second, func(all []*registry.Endpoint) { c.index = registry.NewIndex(all) })
 	release := known.Hold()
 	for service, n := range map[string]int{"first": 36, "second": 37, "third": 42, "llm": 59} {
 		s := &catalog.Service{Name: service, Batch: &catalog.Batch{MaxPieces: 100, MaxCalls: 8, CallOverhead: callOverhead, ResultBytes: 1 << 40, ResultRetention: time.Second}}
