Connections to endpoints: an answer without a length is whole only if the request was sent

Cause: the system reports a reset once per socket. The goroutine that writes the upload took the error, and the reader found a clean end.

--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -47,7 +47,7 @@
 	pool      *Pool
 	conn      *conn
 	raw       *http.Response
-	bodySent  chan error // result of writing a body in the background; nil if it was written before reading
+	upload    *upload // nil if the body was written before reading
 	stopWatch func() bool
 	bodyRead  bool
 	aborted   bool
@@ -92,11 +92,7 @@
 		if n, err := resp.conn.Write(head); err != nil {
 			return writeFailure(n, err, r.Address)
 		}
-		resp.bodySent = make(chan error, 1)
-		go func() {
-			_, err := resp.conn.Write(r.Body)
-			resp.bodySent <- err
-		}()
+		resp.upload = startUpload(resp.conn, r.Body)
 	}
 	return resp.readHead(r)
 }
@@ -143,7 +139,9 @@
 }
 
 // bodyReader reads the body of a response and records in bodyRead that its end
-// was reached.
+// was reached. If the body ends with the connection, this is its end only if the
+// request was written completely: a reset is reported once, and the write may have
+// taken it, so that reading finds a clean end.
 type bodyReader struct{ resp *Response }
 
 // Read implements io.Reader.
@@ -152,10 +150,16 @@
 	if n > 0 {
 		b.resp.pool.observer.Heard(b.resp.conn.name, time.Now())
 	}
-	if errors.Is(err, io.EOF) {
-		b.resp.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
-	return n, err
+	if !b.resp.IsFramed() {
+		if err := b.resp.upload.wait(); err != nil {
+			return n, err
+		}
+	}
+	b.resp.bodyRead = true
+	return n, io.EOF
 }
 
 // Close ends the use of the response. Its connection returns to the pool only
@@ -175,7 +179,7 @@
 // IsFramed reports whether the response states where its body ends. Otherwise it ends with the
 // connection, and a body that was cut short may look whole.
 func (resp *Response) IsFramed() bool {
-	return resp.raw.ContentLength >= 0 || len(resp.raw.TransferEncoding) > 0
+	return resp.raw.ContentLength >= 0 || len(resp.raw.TransferEncoding) > 0 || resp.raw.Body == http.NoBody
 }
 
 // Identify records an id that only this response has. It returns false if an earlier response
@@ -196,20 +200,7 @@
 // isComplete reports whether the request has been written and the response read to their ends, and
 // the connection can carry more.
 func (resp *Response) isComplete() bool {
-	return resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.requestSent()
-}
-
-// requestSent reports whether the whole request has been written.
-func (resp *Response) requestSent() bool {
-	if resp.bodySent == nil {
-		return true
-	}
-	select {
-	case err := <-resp.bodySent:
-		return err == nil
-	default:
-		return false
-	}
+	return resp.bodyRead && !resp.raw.Close && resp.conn.br.Buffered() == 0 && resp.upload.isSent()
 }
 
 // requestHead encodes the request line and the headers of a request, and
--- /dev/null
+++ b/internal/edge/proxy/upload_test.go
@@ -0,0 +1,116 @@
+package proxy_test
+
+// This file tests endpoints that answer while the body of the request is still being written.
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/jacinthstile/jacinthstile/internal/edge/catalog"
+	"github.com/jacinthstile/jacinthstile/internal/result/code"
+	"github.com/jacinthstile/jacinthstile/internal/result/fault"
+)
+
+const (
+	uploadBytes  = 8 << 20 // more than the buffers of a connection take, of which the endpoint's is small
+	smallBuffer  = 64 << 10
+	untilBlocked = 20 * time.Millisecond
+	untilGivenUp = 2 * time.Second
+)
+
+// ending is how an endpoint ends its answer.
+type ending int
+
+const (
+	reset     ending = iota // the connection is reset
+	halfClose               // nothing follows, and the rest of the request is read
+	stall                   // nothing follows, and the rest of the request is not read
+)
+
+// answerEarly returns a script that writes a response without a length before it reads the body of the
+// request.
+func answerEarly(proto string, status int, body string, end ending) script {
+	return func(w net.Conn, r *http.Request) {
+		tcp := w.(*net.TCPConn)
+		tcp.SetReadBuffer(smallBuffer)
+		fmt.Fprintf(w, "%s %d X\r\nId: %s\r\nSigned: 1\r\n\r\n%s", proto, status, r.Header.Get("Id"), body)
+		time.Sleep(untilBlocked)
+		if end == reset {
+			tcp.SetLinger(0)
+			tcp.Close()
+			return
+		}
+		tcp.CloseWrite()
+		if end == stall {
+			time.Sleep(untilGivenUp)
+		}
+		io.Copy(io.Discard, r.Body)
+	}
+}
+
+// upload serves a request with a large body.
+func (h *harness) upload(kind catalog.Kind) (*httptest.ResponseRecorder, error) {
+	req := newRequest(kind, 2, true)
+	req.Method, req.Body = http.MethodPost, bytes.Repeat([]byte("x"), uploadBytes)
+	w := httptest.NewRecorder()
+	return w, h.proxy.Serve(context.Background(), req, w)
+}
+
+// TestAnswersBeforeTheUploadEnds guards against taking the part of an answer for all of it: the endpoint reset the connection,
+// and the write of the body took the error, so that reading found a clean end. A whole answer is passed on.
+func TestAnswersBeforeTheUploadEnds(t *testing.T) {
+	const h11, h10 = "HTTP/1.1", "HTTP/1.0"
+	begun := events(0, 2)
+	for _, c := range []struct {
+		name  string
+		kind  catalog.Kind
+		first script
+		next  script // nil if no second endpoint may be asked
+		want  string // empty if the request ends as one that may have run
+	}{
+		{"reset", catalog.Idempotent, answerEarly(h11, 200, "who", reset), respond(200, "Signed: 1\r\n", "whole"), "whole"},
+		{"reset, HTTP/1.0", catalog.Idempotent, answerEarly(h10, 200, "who", reset), respond(200, "Signed: 1\r\n", "whole"), "whole"},
+		{"reset, status 400", catalog.Idempotent, answerEarly(h11, 400, "who", reset), respond(200, "Signed: 1\r\n", "whole"), "whole"},
+		{"reset, status 500", catalog.Idempotent, answerEarly(h11, 500, "who", reset), respond(200, "Signed: 1\r\n", "whole"), "whole"},
+		{"reset, not repeatable", catalog.NonIdempotent, answerEarly(h11, 200, "who", reset), nil, ""},
+		{"reset, not repeatable, status 400", catalog.NonIdempotent, answerEarly(h11, 400, "who", reset), nil, ""},
+		{"reset, stream", catalog.Stream, answerEarly(h11, 200, begun, reset), streamEvents(3, 4, true), events(0, 4)},
+		{"whole, rest of the request read", catalog.NonIdempotent, answerEarly(h11, 200, "whole", halfClose), nil, "whole"},
+		{"whole stream, rest of the request read", catalog.Stream, answerEarly(h11, 200, begun, halfClose), nil, begun},
+		{"rest of the request not read", catalog.NonIdempotent, answerEarly(h11, 200, "who", stall), nil, ""},
+		{"with a length, rest of the request not read", catalog.NonIdempotent, respond(200, "Signed: 1\r\n", "whole"), nil, "whole"},
+	} {
+		for _, elsewhere := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, other instance: %t", c.name, elsewhere), func(t *testing.T) {
+				t.Parallel()
+				scripts := []script{c.first}
+				if c.next != nil {
+					scripts = append(scripts, c.next)
+				}
+				h := newHarness(t, 2, scripts...)
+				if elsewhere {
+					h.cutOff(t, 2)
+				}
+				start := time.Now()
+				w, err := h.upload(c.kind)
+				h.g.Expect(time.Since(start)).To(gomega.BeNumerically("<", untilGivenUp), "the deadline is not awaited")
+				h.g.Expect(h.sent()).To(gomega.Equal(len(scripts)))
+				h.g.Expect(w.Body.String()).To(gomega.Equal(c.want))
+				if c.want == "" {
+					h.g.Expect(fault.From(err).Code).To(gomega.BeElementOf(code.AnswerLost, code.AnswerBad), "got %v", err)
+					return
+				}
+				h.g.Expect(err).NotTo(gomega.HaveOccurred())
+			})
+		}
+	}
+}
