Endpoints: a status that no answer can have is no answer

On the platform those below 200 counted as interim, so that the answer after them was awaited.

Cause: the library takes any three digits, and each place compared them with the one limit that it needed. endpoint/statuscode now says what a code is; the pool of connections, the client of the own interface and the decoder of ticket outcomes ask it. What is no answer counts as lost: it may have run.

--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/statuscode"
 )
 
 // Request is an HTTP request to one endpoint.
@@ -106,8 +107,8 @@
 }
 
 // readHead reads the status line and headers of the response to r. It skips
-// interim (1xx) responses and, on a reused connection, late or duplicate
-// responses to earlier requests. Bytes that are no response may come without end.
+// interim responses and, on a reused connection, late or duplicate responses to
+// earlier requests. Bytes that are no response may come without end.
 func (resp *Response) readHead(r *Request) error {
 	limit := resp.conn.limit
 	defer func() { limit.left = math.MaxInt64 }() // callers limit the body
@@ -118,9 +119,13 @@
 			return failure.New(failure.Lost, err, "reading the answer of %s", r.Address)
 		}
 		resp.pool.observer.Heard(resp.conn.name, time.Now())
-		if raw.StatusCode < http.StatusOK {
+		status := statuscode.Code(raw.StatusCode)
+		if status.IsInterim() {
 			continue
 		}
+		if !status.IsFinal() {
+			return failure.New(failure.Lost, nil, "got status %03d from %s, want one of an answer", status, r.Address)
+		}
 		if r.Matches == nil || r.Matches(raw.Header) {
 			resp.Status, resp.Header, resp.raw = raw.StatusCode, raw.Header, raw
 			resp.Body = bodyReader{resp}
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/statuscode"
 )
 
 // Limits of connections and responses.
@@ -86,8 +87,8 @@
 	check  func() error // called just before the first byte is written; may be nil
 }
 
-// send sends a request and returns the response once its headers have arrived.
-// Errors are of type *failure.Failure. Redirects are not followed.
+// send sends a request and returns the response, whose status is that of an answer,
+// once its headers have arrived. Errors are of type *failure.Failure. Redirects are not followed.
 func (c *Client) send(ctx context.Context, q request) (*http.Response, error) {
 	transport := c.pooled
 	if q.once {
@@ -101,6 +102,10 @@
 	if err != nil {
 		return nil, classify(ctx, err, s)
 	}
+	if !statuscode.Code(resp.StatusCode).IsFinal() {
+		resp.Body.Close()
+		return nil, failure.New(failure.Lost, nil, "got status %03d, want one of an answer", resp.StatusCode)
+	}
 	if resp.StatusCode < http.StatusInternalServerError && resp.Header.Get(HeaderNotRun) == "" {
 		s.release()
 	}
--- a/internal/endpoint/client/client_test.go
+++ b/internal/endpoint/client/client_test.go
@@ -310,6 +310,30 @@
 	g.Expect(failure.KindOf(err)).To(Equal(failure.Lost))
 }
 
+// TestInvalidStatusIsNoReply guards against a status code for the caller that no HTTP answer can have, whatever else the
+// response says.
+func TestInvalidStatusIsNoReply(t *testing.T) {
+	for _, digits := range []string{"000", "042", "099", "101", "600", "999"} {
+		for _, header := range []string{"X: y", client.HeaderNotRun + ": 1"} {
+			t.Run(digits+" "+header, func(t *testing.T) {
+				g := NewWithT(t)
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					conn, buf, _ := w.(http.Hijacker).Hijack()
+					defer conn.Close()
+					fmt.Fprintf(buf, "HTTP/1.1 %s X\r\n%s: %s\r\n%s\r\nContent-Length: 6\r\n\r\nanswer", digits, client.HeaderRequest, r.Header.Get(client.HeaderRequest), header)
+					buf.Flush()
+				}))
+				defer s.Close()
+				_, err := newClient(t).CallService(t.Context(), s.Listener.Addr().String(), client.ServiceCall{
+					RequestID: "r", Method: http.MethodGet, Path: "/status", Deadline: time.Now().Add(time.Second),
+				})
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(failure.KindOf(err)).To(Equal(failure.Lost), "got %v", err)
+			})
+		}
+	}
+}
+
 // If the connection of a complete stream were not drained, each call would open a
 // new one. Cancel must name the request, the stage and the attempt.
 func TestStreamsReuseConnectionsAndCancelReachesTheEndpoint(t *testing.T) {
--- a/internal/ticket/issuer/forward.go
+++ b/internal/ticket/issuer/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthstile/jacinthstile/internal/base/pause"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/client"
+	"github.com/jacinthstile/jacinthstile/internal/endpoint/statuscode"
 	"github.com/jacinthstile/jacinthstile/internal/flow/servicecall"
 	"github.com/jacinthstile/jacinthstile/internal/peer/encoding"
 	"github.com/jacinthstile/jacinthstile/internal/peer/identity"
@@ -85,6 +86,9 @@
 		f.RetryAfter = time.Duration(out.After) * time.Millisecond
 		return client.Reply{}, f
 	}
+	if !statuscode.Code(out.Status).IsFinal() { // of an instance of an older build
+		return client.Reply{}, fault.New(code.AnswerLost, "got status %03d from the endpoint, want one of an answer", out.Status)
+	}
 	return client.Reply{Status: int(out.Status), ContentType: out.Type, Body: out.Body}, nil
 }
 
--- a/internal/ticket/issuer/issuer_test.go
+++ b/internal/ticket/issuer/issuer_test.go
@@ -58,6 +58,7 @@
 	runs        map[string]int           // number of executions by request body
 	unreachable bool                     // the endpoint can't be reached
 	delay       time.Duration            // time before each execution
+	status      int                      // of the replies
 }
 
 // delivery is what the network does to a call between instances.
@@ -73,7 +74,7 @@
 func newCluster(names ...string) *cluster {
 	cl := &cluster{
 		issuers: map[string]*issuer.Issuer{}, identities: map[string]identity.Identity{}, listed: map[string]bool{},
-		delivery: func(string) delivery { return delivered }, runs: map[string]int{},
+		delivery: func(string) delivery { return delivered }, runs: map[string]int{}, status: 201,
 	}
 	for _, n := range names {
 		cl.start(n)
@@ -122,7 +123,7 @@
 	}
 	cl.set(func() { cl.runs[string(req.Call.Body)]++ })
 	time.Sleep(service)
-	return client.Reply{Status: 201, Body: fmt.Appendf(nil, "%s of %s", req.Call.Body, req.Call.RequestID)}, ctx.Err()
+	return client.Reply{Status: cl.status, Body: fmt.Appendf(nil, "%s of %s", req.Call.Body, req.Call.RequestID)}, ctx.Err()
 }
 
 func (cl *cluster) CallIncarnation(ctx context.Context, address string, want identity.Identity, _ method.Method, in, out proto.Message) error {
@@ -194,6 +195,7 @@
 			}
 			return "b"
 		}, 0, 1},
+		{"reply with a status that no answer can have", func(cl *cluster, _ string) string { cl.status = 0; return "b" }, code.AnswerLost, 1},
 		{"issuer not in the instance list", func(cl *cluster, _ string) string { cl.listed["a"] = false; return "b" }, code.IssuerGone, 0},
 		{"issuer restarted, sent to another instance", func(cl *cluster, _ string) string { cl.start("a"); return "b" }, code.IssuerGone, 0},
 		{"issuer restarted, sent to the issuer", func(cl *cluster, _ string) string { cl.start("a"); return "a" }, code.IssuerGone, 0},
