--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -274,15 +274,7 @@
 // interval after the previous watch began.
 func (w *Watcher) watch(ctx context.Context, wait, interval time.Duration) error {
 	newest := w.peer.Fleet().Version
-	_, known := w.freshness.ConfirmedAt()
-	switch left := w.freshness.UntilExpected(); {
-	case newest > w.version:
-		wait, interval = probeWait, reportedWatchInterval
-	case w.unreachable || !known && left == 0 || w.freshness.Now()-w.answeredAt > maxReportAge:
-		wait = probeWait
-	case left > 0:
-		wait = min(wait, max(left, probeWait)) // the first answer that counts comes as soon as it can
-	}
+	wait, interval = w.limitWait(wait, interval, newest)
 	pause.For(ctx, w.lastWatch+interval-w.freshness.Now())
 	wait = max(w.untilExpiry(wait), probeWait)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -318,6 +310,23 @@
 	return nil
 }
 
+// limitWait returns the wait and the interval of the next watch: it does not wait while its answer alone confirms the state.
+// newest is the newest version of the catalog that any instance has in force.
+func (w *Watcher) limitWait(wait, interval time.Duration, newest uint64) (time.Duration, time.Duration) {
+	_, known := w.freshness.ConfirmedAt()
+	left := w.freshness.UntilExpected()
+	switch {
+	case newest > w.version:
+		return probeWait, reportedWatchInterval
+	case w.unreachable || !known && left == 0 || w.freshness.Now()-w.answeredAt > maxReportAge:
+		return probeWait, interval
+	case left > 0:
+		return min(wait, max(left, probeWait)), interval // the first answer that counts comes as soon as it can
+	default:
+		return wait, interval
+	}
+}
+
 // awaitNews returns a channel that is closed when another instance reports something newer than is applied here. The returned
 // function ends that.
 func (w *Watcher) awaitNews(ctx context.Context) (<-chan struct{}, func()) {
@@ -391,7 +400,7 @@
 	}
 	w.unreachable = false
 	expired := w.registry.SetReachable(outage, time.Now())
-	w.log.Info("store reached again", "ground", reason, "after", time.Since(w.unreachableSince).String(), "outage", outage.String(), "registrations may have expired", expired)
+	w.log.Info("store reached again", "ground", reason, "after", time.Since(w.unreachableSince).String(), "outage", outage.String(), "expired", expired)
 }
 
 // untilExpiry returns the time until an endpoint expires, or limit if that is shorter.
--- a/internal/ticket/issuer/forward.go
+++ b/internal/ticket/issuer/forward.go
@@ -86,7 +86,7 @@
 		f.RetryAfter = time.Duration(out.After) * time.Millisecond
 		return client.Reply{}, f
 	}
-	if !statuscode.Code(out.Status).IsFinal() { // of an instance of an older build
+	if !statuscode.Code(out.Status).IsFinal() { // instances of older builds pass it on
 		return client.Reply{}, fault.New(code.AnswerLost, "got status %03d from the endpoint, want one of an answer", out.Status)
 	}
 	return client.Reply{Status: int(out.Status), ContentType: out.Type, Body: out.Body}, nil
