--- a/internal/edge/watcher/watcher.go
+++ b/internal/edge/watcher/watcher.go
@@ -310,8 +310,8 @@
 	return nil
 }
 
-// limitWait returns the wait and the interval of the next watch: it does not wait while its answer alone confirms the state.
-// newest is the newest version of the catalog that any instance has in force.
+// limitWait returns the wait and the interval of the next watch. One that is to confirm the state as soon as possible, since
+// nothing else has lately, is answered at once. newest is the newest version of the catalog that any instance has in force.
 func (w *Watcher) limitWait(wait, interval time.Duration, newest uint64) (time.Duration, time.Duration) {
 	_, known := w.freshness.ConfirmedAt()
 	left := w.freshness.UntilExpected()
