Connections to endpoints: an answer without a length is whole once the endpoint has acknowledged the request

Cause: an upload that the connection's buffer has taken counted as sent, though nothing of it was acknowledged, and small requests were not looked at. Reading finds a clean end before the reset has come, and after it as well.

base/teardown waits for a reset that directly follows the end, closes this side's direction and waits until the system shows that the other end has acknowledged all of it, a second at most; no error may be pending then. This holds whatever the size of the request.

--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -145,8 +145,8 @@
 
 // bodyReader reads the body of a response and records in bodyRead that its end
 // was reached. If the body ends with the connection, this is its end only if the
-// request was written completely: a reset is reported once, and the write may have
-// taken it, so that reading finds a clean end.
+// endpoint has acknowledged the request and not reset the connection: reading finds a
+// clean end if the reset comes after it, or if the write of the request has taken the error.
 type bodyReader struct{ resp *Response }
 
 // Read implements io.Reader.
@@ -158,8 +158,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !b.resp.IsFramed() {
-		if err := b.resp.upload.wait(); err != nil {
+	if !b.resp.bodyRead && !b.resp.IsFramed() {
+		if err := b.resp.confirmEnd(); err != nil {
 			return n, err
 		}
 	}
--- a/internal/edge/connpool/upload.go
+++ b/internal/edge/connpool/upload.go
@@ -1,18 +1,24 @@
 package connpool
 
-// This file writes large bodies of requests while the responses are read.
+// This file writes large bodies of requests while the responses are read, and finds out whether a request had
+// reached the endpoint when its response ended.
 
 import (
 	"errors"
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/jacinthstile/jacinthstile/internal/base/teardown"
 )
 
-// uploadTimeout is how long the rest of a body may take to be written once the response has ended.
-const uploadTimeout = time.Second
+// ackTimeout is how long the endpoint may take to acknowledge the rest of a request once the response has ended.
+const ackTimeout = time.Second
 
-var errUploadUnfinished = errors.New("the answer ended before the request was sent")
+var (
+	errUploadUnfinished = errors.New("the answer ended before the request was sent")
+	errEndUnconfirmed   = errors.New("the end of the answer is not confirmed")
+)
 
 // upload is a body that is written in the background. A nil upload is one that was written before.
 type upload struct {
@@ -30,13 +36,12 @@
 	return u
 }
 
-// wait waits for the end of the write, at most for uploadTimeout. The error says why the body is not written
-// completely.
-func (u *upload) wait() error {
+// wait waits for the end of the write until a deadline. The error says why the body is not written completely.
+func (u *upload) wait(deadline time.Time) error {
 	if u == nil {
 		return nil
 	}
-	timer := time.NewTimer(uploadTimeout)
+	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-u.done:
@@ -61,3 +66,16 @@
 		return false
 	}
 }
+
+// confirmEnd waits until the endpoint has acknowledged all of a request whose response has ended with the connection. The
+// error says why it has not, or how the connection failed.
+func (resp *Response) confirmEnd() error {
+	deadline := time.Now().Add(ackTimeout)
+	if err := resp.upload.wait(deadline); err != nil {
+		return err
+	}
+	if err := teardown.Confirm(resp.conn.Conn, deadline); err != nil {
+		return fmt.Errorf("%w: %w", errEndUnconfirmed, err)
+	}
+	return nil
+}
--- a/internal/edge/proxy/harness_test.go
+++ b/internal/edge/proxy/harness_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -187,6 +188,7 @@
 	listeners  map[string]net.Listener // of the endpoints, by address
 	shutdown   *shutdown.Shutdown
 	wait       func(ctx context.Context) error // in Prepare and Permit; they return its error
+	slowness   slowness                        // of the connections to endpoints and instances
 }
 
 func newHarness(t *testing.T, endpoints int, scripts ...script) *harness {
@@ -212,13 +214,52 @@
 	h.registry, h.index = f, func() *registry.Index { return index }
 	stats := endpointstats.New()
 	d := dispatcher.New(tables, picker.New("a", strategy.Predicted{}, stats, 1), stats, 8, logr.Discard(), tally.NoopScope)
-	pool, closePool := connpool.New(connpool.NewDial(), nil)
+	pool, closePool := connpool.New(h.dial, nil)
 	t.Cleanup(closePool)
 	h.proxy = proxy.New(testCodec{}, func() *registry.Index { return index }, tables, d, pool,
 		budget, h, h.quarantine, stats.Limits(), notice.New(f, stats.Cooldown(), stats.Limits(), warmup.New(stats.Limits(), warmup.Allowance{}), pace.New(), slowstart.New(1), false, stats.Brittle(), logr.Discard(), tally.NoopScope), h.versions, h.freshness, h.newPaths(pool), h.shutdown, logr.Discard())
 	return h
 }
 
+// slowness is what a connection to an endpoint takes longer than it has to.
+type slowness struct {
+	upload time.Duration // before each write but the first
+	end    time.Duration // before its end is reported
+}
+
+// slowConn is a connection with a slowness.
+type slowConn struct {
+	*net.TCPConn
+	slowness
+	writes atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(p []byte) (int, error) {
+	if c.writes.Add(1) > 1 {
+		time.Sleep(c.upload)
+	}
+	return c.TCPConn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, io.EOF) {
+		time.Sleep(c.end)
+	}
+	return n, err
+}
+
+// dial connects as the product does.
+func (h *harness) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := connpool.NewDial()(ctx, address)
+	if err != nil || h.slowness == (slowness{}) {
+		return c, err
+	}
+	return &slowConn{TCPConn: c.(*net.TCPConn), slowness: h.slowness}, nil
+}
+
 // newPaths returns the paths of an instance that reaches all services.
 func (h *harness) newPaths(pool *connpool.Pool) proxy.Paths {
 	h.reach = reach.New(func(string) string { return "s" }, logr.Discard())
