Answers: a head in which the name of a field is no token is no answer

What callers saw (MIXED): an endpoint sends an answer in whose head the name of a field holds a blank, and it is passed on with that line; or its body is not the endpoint's, as "Content-Length : 4" and "Transfer-Encoding : chunked" are not read as what they say.

Cause: net/http takes a blank in a name and leaves such a field as it is, and its word for a valid head was taken. base/responsehead now says what a name is, as endpoint/statuscode does for statuses. What is no answer counts as lost: it may have run.

Control bytes were no answer already.

--- a/internal/edge/connpool/send.go
+++ b/internal/edge/connpool/send.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/responsehead"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/statuscode"
 )
@@ -119,6 +120,9 @@
 			return failure.New(failure.Lost, err, "reading the answer of %s", r.Address)
 		}
 		resp.pool.observer.Heard(resp.conn.name, time.Now())
+		if err := responsehead.Check(raw.Header); err != nil {
+			return failure.New(failure.Lost, err, "reading the answer of %s", r.Address)
+		}
 		status := statuscode.Code(raw.StatusCode)
 		if status.IsInterim() {
 			continue
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/responsehead"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/failure"
 	"github.com/jacinthstile/jacinthstile/internal/endpoint/statuscode"
 )
@@ -87,7 +89,7 @@
 	check  func() error // called just before the first byte is written; may be nil
 }
 
-// send sends a request and returns the response, whose status is that of an answer,
+// send sends a request and returns the response, whose head is that of an answer,
 // once its headers have arrived. Errors are of type *failure.Failure. Redirects are not followed.
 func (c *Client) send(ctx context.Context, q request) (*http.Response, error) {
 	transport := c.pooled
@@ -102,9 +104,9 @@
 	if err != nil {
 		return nil, classify(ctx, err, s)
 	}
-	if !statuscode.Code(resp.StatusCode).IsFinal() {
+	if err := checkHead(resp); err != nil {
 		resp.Body.Close()
-		return nil, failure.New(failure.Lost, nil, "got status %03d, want one of an answer", resp.StatusCode)
+		return nil, failure.New(failure.Lost, err, "reading the answer")
 	}
 	if resp.StatusCode < http.StatusInternalServerError && resp.Header.Get(HeaderNotRun) == "" {
 		s.release()
@@ -112,14 +114,25 @@
 	return resp, nil
 }
 
+// checkHead returns an error if the head of a response can't be that of an answer.
+func checkHead(resp *http.Response) error {
+	if !statuscode.Code(resp.StatusCode).IsFinal() {
+		return fmt.Errorf("got status %03d, want one of an answer", resp.StatusCode)
+	}
+	return responsehead.Check(resp.Header)
+}
+
 // roundTrip sends the request by a transport. The request has no GetBody function, so
 // that the transport can't send a body again.
 func (q request) roundTrip(ctx context.Context, transport *http.Transport, s *sendPermit) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*guardedConn); ok {
-			conn.current.Store(s)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*guardedConn); ok {
+				conn.current.Store(s)
+			}
+		},
+		Got1xxResponse: responsehead.CheckInterim,
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), q.method, q.url, nil)
 	if err != nil {
 		return nil, failure.New(failure.Unsent, err, "building request")
--- a/internal/endpoint/client/client_test.go
+++ b/internal/endpoint/client/client_test.go
@@ -334,6 +334,37 @@
 	}
 }
 
+// TestInvalidFieldNameIsNoReply guards against a response for a reply in whose head, or in that of an interim response before it, the
+// name of a field is no token, whatever else the response says.
+func TestInvalidFieldNameIsNoReply(t *testing.T) {
+	const length = "Content-Length: 6\r\n"
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX A: 1\r\n" + length, "HTTP/1.1 200 OK\r\nX-A : 1\r\n" + length, "HTTP/1.1 500 X\r\nX-A : 1\r\n" + length,
+		"HTTP/1.1 200 OK\r\nX\x01A: 1\r\n" + length, "HTTP/1.1 200 OK\r\nX\tA: 1\r\n" + length, "HTTP/1.1 200 OK\r\n: 1\r\n" + length,
+		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n" + length, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + length,
+		"HTTP/1.1 503 X\r\nX A: 1\r\n" + client.HeaderNotRun + ": 1\r\n" + length,
+		"HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length, "HTTP/1.1 103 X\r\nX\x01A: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
+	} {
+		for _, nonIdempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, not idempotent: %t", head, nonIdempotent), func(t *testing.T) {
+				g := NewWithT(t)
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					conn, buf, _ := w.(http.Hijacker).Hijack()
+					defer conn.Close()
+					fmt.Fprintf(buf, "%s%s: %s\r\n\r\nanswer", head, client.HeaderRequest, r.Header.Get(client.HeaderRequest))
+					buf.Flush()
+				}))
+				defer s.Close()
+				_, err := newClient(t).CallService(t.Context(), s.Listener.Addr().String(), client.ServiceCall{
+					RequestID: "r", Method: http.MethodGet, Path: "/status", Deadline: time.Now().Add(time.Second), NonIdempotent: nonIdempotent,
+				})
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(failure.KindOf(err)).To(Equal(failure.Lost), "got %v", err)
+			})
+		}
+	}
+}
+
 // If the connection of a complete stream were not drained, each call would open a
 // new one. Cancel must name the request, the stage and the attempt.
 func TestStreamsReuseConnectionsAndCancelReachesTheEndpoint(t *testing.T) {
--- a/internal/placement/engineclient/client.go
+++ b/internal/placement/engineclient/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/responsehead"
 	"github.com/jacinthstile/jacinthstile/internal/placement/plan"
 	"github.com/jacinthstile/jacinthstile/internal/table/revision"
 )
@@ -33,7 +34,7 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConns: 32, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	}
-	c := &http.Client{Transport: transport, Timeout: timeout}
+	c := &http.Client{Transport: responsehead.Transport{Base: transport}, Timeout: timeout}
 	return &Client{http: c}, c.CloseIdleConnections
 }
 
--- a/internal/platform/configclient/client.go
+++ b/internal/platform/configclient/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthstile/jacinthstile/internal/base/responsehead"
 	"github.com/jacinthstile/jacinthstile/internal/base/stall"
 )
 
@@ -56,7 +57,7 @@
 // "http://10.0.0.5:9000". The returned function closes its idle connections.
 func New(base string) (*Client, func()) {
 	t := &http.Transport{MaxIdleConnsPerHost: 4}
-	return &Client{base: base, http: &http.Client{Transport: t}}, t.CloseIdleConnections
+	return &Client{base: base, http: &http.Client{Transport: responsehead.Transport{Base: t}}}, t.CloseIdleConnections
 }
 
 // Calls returns the number of calls made so far. A watch counts as one call.
