Answers: interim responses are limited where their heads are checked

The hook allows ten for each request now.

TestInterimResponsesWithoutEnd runs into its time limit without that; two more cases of TestTransport.

--- a/internal/base/responsehead/head_test.go
+++ b/internal/base/responsehead/head_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -30,9 +31,9 @@
 }
 
 // TestTransport guards against a response for an answer in whose head, or in that of an interim response before it, the name
-// of a field is no token, and against rejecting what HTTP allows.
+// of a field is no token, against interim responses without end, and against rejecting what HTTP allows.
 func TestTransport(t *testing.T) {
-	const rest = "Content-Length: 4\r\n\r\nbody"
+	const rest, interim = "Content-Length: 4\r\n\r\nbody", "HTTP/1.1 103 X\r\n\r\n"
 	for _, c := range []struct {
 		answer string
 		valid  bool
@@ -49,6 +50,8 @@
 		{"HTTP/1.1 200 OK\r\n: 1\r\n" + rest, false},
 		{"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbodyREST", false},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+		{strings.Repeat(interim, 10) + "HTTP/1.1 200 OK\r\n" + rest, true},
+		{strings.Repeat(interim, 11) + "HTTP/1.1 200 OK\r\n" + rest, false},
 		{"HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, false},
 	} {
 		t.Run(c.answer, func(t *testing.T) {
--- a/internal/endpoint/client/client.go
+++ b/internal/endpoint/client/client.go
@@ -131,7 +131,7 @@
 				conn.current.Store(s)
 			}
 		},
-		Got1xxResponse: responsehead.CheckInterim,
+		Got1xxResponse: responsehead.InterimHook(),
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), q.method, q.url, nil)
 	if err != nil {
--- a/internal/endpoint/client/client_test.go
+++ b/internal/endpoint/client/client_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -365,6 +366,25 @@
 	}
 }
 
+// TestInterimResponsesWithoutEnd guards against waiting for a response until the deadline while interim ones come.
+func TestInterimResponsesWithoutEnd(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		defer conn.Close()
+		for {
+			if _, err := io.WriteString(conn, "HTTP/1.1 103 X\r\nX-A: 1\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	}))
+	defer s.Close()
+	_, err := newClient(t).CallService(t.Context(), s.Listener.Addr().String(), client.ServiceCall{
+		RequestID: "r", Method: http.MethodGet, Path: "/status", Deadline: time.Now().Add(time.Minute),
+	})
+	g.Expect(failure.KindOf(err)).To(Equal(failure.Lost), "got %v", err)
+}
+
 // If the connection of a complete stream were not drained, each call would open a
 // new one. Cancel must name the request, the stage and the attempt.
 func TestStreamsReuseConnectionsAndCancelReachesTheEndpoint(t *testing.T) {
