--- a/internal/endpoint/client/client_test.go
+++ b/internal/endpoint/client/client_test.go
@@ -369,7 +369,7 @@
 // TestInterimResponsesWithoutEnd guards against waiting for a response until the deadline while interim ones come.
 func TestInterimResponsesWithoutEnd(t *testing.T) {
 	g := NewWithT(t)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, _ := w.(http.Hijacker).Hijack()
 		defer conn.Close()
 		for {
